--- /dev/null
+++ b/src/main/java/org/fieldtrestle/Main.java
@@ -0,0 +1,105 @@
+package org.fieldtrestle;
+
+import io.netty.channel.nio.NioEventLoopGroup;
+import java.net.InetSocketAddress;
+import java.nio.ByteBuffer;
+import java.nio.file.Path;
+import java.util.concurrent.Callable;
+import java.util.random.RandomGenerator;
+import org.fieldtrestle.coordination.Controller;
+import org.fieldtrestle.coordination.Tuning;
+import org.fieldtrestle.protocol.PeerWire;
+import org.fieldtrestle.protocol.Settings;
+import org.fieldtrestle.protocol.SettingsFile;
+import org.fieldtrestle.transport.HttpClient;
+import org.fieldtrestle.transport.HttpServer;
+import org.fieldtrestle.transport.NettyReactor;
+import org.fieldtrestle.transport.PeerNet;
+import picocli.CommandLine;
+
+/** The program: reads its settings and wires a controller to the network. */
+@CommandLine.Command(
+    name = "fieldtrestle",
+    description = "One controller of the fieldtrestle cluster scheduler.",
+    mixinStandardHelpOptions = true,
+    versionProvider = Main.Version.class)
+public final class Main implements Callable<Integer> {
+  @CommandLine.Option(
+      names = "--config",
+      paramLabel = "FILE",
+      required = true,
+      description = "the platform's settings (TOML)")
+  private Path config;
+
+  @CommandLine.Option(
+      names = "--check",
+      description = "only check the settings, and say what is wrong with them")
+  private boolean check;
+
+  static final class Version implements CommandLine.IVersionProvider {
+    @Override
+    public String[] getVersion() {
+      String version = Main.class.getPackage().getImplementationVersion();
+      return new String[] {"fieldtrestle " + (version == null ? "(not packaged)" : version)};
+    }
+  }
+
+  public static void main(String[] args) {
+    String level = System.getenv().getOrDefault("LOG_LEVEL", "info");
+    System.setProperty("org.slf4j.simpleLogger.defaultLogLevel", level);
+    System.setProperty("org.slf4j.simpleLogger.log.io.netty", "warn");
+    System.setProperty("org.slf4j.simpleLogger.showThreadName", "false");
+    System.setProperty("org.slf4j.simpleLogger.showShortLogName", "true");
+    // One event loop serves everything; more arenas and caches would only cost memory.
+    System.setProperty("io.netty.allocator.type", "unpooled");
+    System.setProperty("io.netty.noUnsafe", "false");
+    int code = new CommandLine(new Main()).execute(args);
+    if (code != 0) {
+      System.exit(code);
+    }
+  }
+
+  @Override
+  public Integer call() throws InterruptedException {
+    Settings settings;
+    try {
+      settings = SettingsFile.read(config);
+    } catch (Settings.Invalid e) {
+      System.err.println("fieldtrestle: " + e.getMessage());
+      return 2;
+    }
+    if (check) {
+      System.out.println("settings of " + settings.label() + " are in order");
+      return 0;
+    }
+    NioEventLoopGroup group = new NioEventLoopGroup(1);
+    NettyReactor reactor = new NettyReactor(group.next());
+    int sockets = settings.limits().maxConnections();
+    long idleMs = Math.round(settings.workers().leaseS() * 2000);
+    HttpClient client = new HttpClient(group.next(), sockets / 4);
+    PeerNet peers = new PeerNet(group, PeerWire.MAX_FRAME, sockets / 16, idleMs);
+    Controller controller =
+        new Controller(
+            settings,
+            Tuning.DEFAULT,
+            reactor,
+            RandomGenerator.of("L64X128MixRandom"),
+            client,
+            peers);
+    HttpServer server = new HttpServer(group, controller, sockets / 2, idleMs);
+    server.start(address(settings.userAddress()));
+    peers.start(
+        address(settings.peerAddress()),
+        frame -> {
+          ByteBuffer copy = ByteBuffer.allocate(frame.remaining()).put(frame).flip();
+          controller.frame(copy);
+        });
+    reactor.execute(controller::start);
+    group.terminationFuture().sync();
+    return 0;
+  }
+
+  private static InetSocketAddress address(String text) {
+    return HttpClient.socket(text);
+  }
+}
--- /dev/null
+++ b/src/main/java/org/fieldtrestle/bookkeeping/View.java
@@ -0,0 +1,362 @@
+package org.fieldtrestle.bookkeeping;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.Iterator;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.TreeMap;
+import java.util.function.Consumer;
+import org.fieldtrestle.bookkeeping.Records.RangeKey;
+import org.fieldtrestle.protocol.Settings;
+import org.fieldtrestle.protocol.StateWire;
+import org.fieldtrestle.transport.Reactor;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/**
+ * What the state service held at the revision that this controller has followed it to, and our own
+ * commits on top. Others read it and are told of every key that changes.
+ */
+public final class View {
+  private static final Logger LOG = LoggerFactory.getLogger(View.class);
+
+  /** A record and its version. */
+  public record Kept<T>(T record, long version) {}
+
+  /** An accepted job that has not ended, with its ranges. */
+  public static final class LiveJob {
+    private Kept<Records.Job> job;
+    private final TreeMap<Integer, Kept<Records.Range>> ranges = new TreeMap<>();
+
+    public Kept<Records.Job> job() {
+      return job;
+    }
+
+    public TreeMap<Integer, Kept<Records.Range>> ranges() {
+      return ranges;
+    }
+
+    public boolean complete() {
+      if (job == null || ranges.isEmpty()) {
+        return false;
+      }
+      int tasks = 0;
+      for (Kept<Records.Range> range : ranges.values()) {
+        if (!range.record().complete()) {
+          return false;
+        }
+        tasks += range.record().size();
+      }
+      return tasks == job.record().spec().tasks();
+    }
+
+    public int done() {
+      int done = 0;
+      for (Kept<Records.Range> range : ranges.values()) {
+        done += range.record().done().cardinality();
+      }
+      return done;
+    }
+  }
+
+  private final Reactor reactor;
+  private final Store store;
+  private final long watchGapMs;
+  private final long watchWaitMs;
+  private final Map<String, LiveJob> jobs = new HashMap<>();
+  private final Map<String, Kept<Records.Machine>> machines = new HashMap<>();
+  private final Map<String, Kept<Records.Master>> masters = new HashMap<>();
+  private final Map<String, Kept<Records.Member>> members = new HashMap<>();
+  private final Map<String, Kept<Records.Quota>> quotas = new HashMap<>();
+  private final Map<String, Long> versions = new HashMap<>();
+  private final Map<String, Long> removed = new HashMap<>();
+  private final Set<String> unreadable = new HashSet<>();
+  private final List<Consumer<Records.Key>> listeners = new ArrayList<>();
+  private final List<Waiting> waiting = new ArrayList<>();
+  private long followed = -1;
+  private boolean watching;
+  private long lastWatch;
+  private long loadAt;
+  private long freshAt = Long.MIN_VALUE;
+
+  private record Waiting(long revision, long until, Consumer<Boolean> done) {}
+
+  public View(Reactor reactor, Store store, Settings settings) {
+    this.reactor = reactor;
+    this.store = store;
+    // Reopened watches may take a quarter of the requests that the state service allows.
+    this.watchGapMs = Math.round(4000 / settings.share(settings.state().rps()));
+    this.watchWaitMs = settings.stateLeaseMs() / 6;
+  }
+
+  public void listen(Consumer<Records.Key> listener) {
+    listeners.add(listener);
+  }
+
+  public void start() {
+    load("", -1, new HashSet<>());
+  }
+
+  /** True once everything has been read. */
+  public boolean ready() {
+    return followed >= 0;
+  }
+
+  public long followed() {
+    return followed;
+  }
+
+  public LiveJob job(String id) {
+    LiveJob job = jobs.get(id);
+    return job == null || job.job == null ? null : job;
+  }
+
+  public Collection<LiveJob> jobs() {
+    return jobs.values();
+  }
+
+  /** The ranges of a job, also of one that is no longer live. */
+  public Map<Integer, Kept<Records.Range>> rangesOf(String job) {
+    LiveJob live = jobs.get(job);
+    return live == null ? Map.of() : live.ranges;
+  }
+
+  public Kept<Records.Range> range(RangeKey key) {
+    return rangesOf(key.job()).get(key.index());
+  }
+
+  public Map<String, LiveJob> all() {
+    return jobs;
+  }
+
+  public Map<String, Kept<Records.Machine>> machines() {
+    return machines;
+  }
+
+  public Kept<Records.Master> master(String label) {
+    return masters.get(label);
+  }
+
+  public Map<String, Kept<Records.Master>> masters() {
+    return masters;
+  }
+
+  public Map<String, Kept<Records.Member>> members() {
+    return members;
+  }
+
+  public Kept<Records.Quota> quota(String team) {
+    return quotas.get(team);
+  }
+
+  public long watchGapMs() {
+    return watchGapMs;
+  }
+
+  /** Everything that happened before this time is known here. */
+  public long freshAt() {
+    return freshAt;
+  }
+
+  /** The version of a key; 0 where it does not exist. */
+  public long version(String key) {
+    return versions.getOrDefault(key, 0L);
+  }
+
+  /** Calls back once everything up to a revision has been seen; false when that took too long. */
+  public void await(long revision, long withinMs, Consumer<Boolean> done) {
+    if (followed >= revision) {
+      done.accept(true);
+      return;
+    }
+    waiting.add(new Waiting(revision, reactor.now() + withinMs, done));
+    reactor.schedule(withinMs, this::expire);
+  }
+
+  private void expire() {
+    settle(w -> w.until() <= reactor.now(), false);
+  }
+
+  private void settle(java.util.function.Predicate<Waiting> which, boolean outcome) {
+    List<Waiting> over = new ArrayList<>();
+    for (Iterator<Waiting> all = waiting.iterator(); all.hasNext(); ) {
+      Waiting one = all.next();
+      if (which.test(one)) {
+        all.remove();
+        over.add(one);
+      }
+    }
+    over.forEach(w -> w.done().accept(outcome));
+  }
+
+  private void load(String after, long revision, Set<String> seen) {
+    if (after.isEmpty()) {
+      loadAt = reactor.now();
+    }
+    store.list(
+        Records.LIVE,
+        after,
+        listing -> {
+          if (listing == null) {
+            reactor.schedule(watchGapMs * 4, () -> load("", -1, new HashSet<>()));
+            return;
+          }
+          long first = revision < 0 ? listing.revision() : revision;
+          String last = after;
+          for (StateWire.Entry entry : listing.entries()) {
+            seen.add(entry.key());
+            apply(entry);
+            last = entry.key();
+          }
+          if (listing.more() && !listing.entries().isEmpty()) {
+            load(last, first, seen);
+            return;
+          }
+          for (String key : List.copyOf(versions.keySet())) {
+            if (!seen.contains(key) && version(key) <= first) {
+              apply(new StateWire.Entry(key, null, first));
+            }
+          }
+          advance(first);
+          freshAt = loadAt;
+          LOG.info(
+              "state read up to revision {}: {} jobs, {} machines",
+              first,
+              jobs.size(),
+              machines.size());
+          watch();
+        });
+  }
+
+  private void watch() {
+    if (watching) {
+      return;
+    }
+    watching = true;
+    lastWatch = reactor.now();
+    store.watch(
+        Records.LIVE,
+        followed,
+        watchWaitMs,
+        watched -> {
+          watching = false;
+          if (watched instanceof Store.Changes changes) {
+            freshAt = lastWatch;
+            changes.events().events().forEach(this::apply);
+            advance(changes.events().revision());
+            long gap = Math.max(0, lastWatch + watchGapMs - reactor.now());
+            reactor.schedule(gap, this::watch);
+          } else if (watched instanceof Store.TooOld) {
+            LOG.info("watch from {} is too old, reading everything again", followed);
+            load("", -1, new HashSet<>());
+          } else {
+            reactor.schedule(watchGapMs * 4, this::watch);
+          }
+        });
+  }
+
+  private void advance(long revision) {
+    followed = Math.max(followed, revision);
+    removed.values().removeIf(r -> r <= followed);
+    settle(w -> w.revision() <= followed, true);
+  }
+
+  /** Takes in the changes of a transaction of our own without waiting for the watch. */
+  public void committed(List<StateWire.Change> changes, long revision) {
+    for (StateWire.Change change : changes) {
+      if (change.key().startsWith(Records.LIVE)) {
+        JsonNode value = change instanceof StateWire.Put put ? put.value() : null;
+        apply(new StateWire.Entry(change.key(), value, revision));
+      }
+    }
+  }
+
+  private void apply(StateWire.Entry entry) {
+    String key = entry.key();
+    if (entry.version() <= version(key) || entry.version() <= removed.getOrDefault(key, 0L)) {
+      return;
+    }
+    Records.Key parsed = Records.key(key);
+    if (entry.value() == null) {
+      versions.remove(key);
+      unreadable.remove(key);
+      if (entry.version() > followed) {
+        removed.put(key, entry.version());
+      }
+      remove(parsed);
+    } else {
+      versions.put(key, entry.version());
+      try {
+        put(parsed, entry.value(), entry.version());
+        unreadable.remove(key);
+      } catch (Records.Unreadable e) {
+        // Contained: the key is left as it is and counts as absent, all others go on.
+        if (unreadable.add(key)) {
+          LOG.error("unreadable value at state key {}: {}", key, e.getMessage());
+        }
+        remove(parsed);
+      }
+    }
+    listeners.forEach(listener -> listener.accept(parsed));
+  }
+
+  public boolean readable(String key) {
+    return !unreadable.contains(key);
+  }
+
+  private void put(Records.Key key, JsonNode value, long version) throws Records.Unreadable {
+    if (key instanceof Records.JobKey k) {
+      jobs.computeIfAbsent(k.job(), id -> new LiveJob()).job =
+          new Kept<>(Records.readJob(value), version);
+    } else if (key instanceof RangeKey k) {
+      jobs.computeIfAbsent(k.job(), id -> new LiveJob())
+          .ranges
+          .put(k.index(), new Kept<>(Records.readRange(value), version));
+    } else if (key instanceof Records.MachineKey k) {
+      machines.put(k.machine(), new Kept<>(Records.readMachine(value), version));
+    } else if (key instanceof Records.MasterKey k) {
+      masters.put(k.master(), new Kept<>(Records.readMaster(value), version));
+    } else if (key instanceof Records.MemberKey k) {
+      members.put(k.label(), new Kept<>(Records.readMember(value), version));
+    } else if (key instanceof Records.QuotaKey k) {
+      quotas.put(k.team(), new Kept<>(Records.readQuota(value), version));
+    } else {
+      throw new Records.Unreadable("not one of our keys");
+    }
+  }
+
+  private void remove(Records.Key key) {
+    if (key instanceof Records.JobKey k) {
+      LiveJob job = jobs.get(k.job());
+      if (job != null) {
+        job.job = null;
+        dropEmpty(k.job(), job);
+      }
+    } else if (key instanceof RangeKey k) {
+      LiveJob job = jobs.get(k.job());
+      if (job != null) {
+        job.ranges.remove(k.index());
+        dropEmpty(k.job(), job);
+      }
+    } else if (key instanceof Records.MachineKey k) {
+      machines.remove(k.machine());
+    } else if (key instanceof Records.MasterKey k) {
+      masters.remove(k.master());
+    } else if (key instanceof Records.MemberKey k) {
+      members.remove(k.label());
+    } else if (key instanceof Records.QuotaKey k) {
+      quotas.remove(k.team());
+    }
+  }
+
+  private void dropEmpty(String id, LiveJob job) {
+    if (job.job == null && job.ranges.isEmpty()) {
+      jobs.remove(id);
+    }
+  }
+}
--- /dev/null
+++ b/src/main/java/org/fieldtrestle/coordination/Cloud.java
@@ -0,0 +1,166 @@
+package org.fieldtrestle.coordination;
+
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.function.Consumer;
+import org.fieldtrestle.protocol.CloudWire;
+import org.fieldtrestle.protocol.Json;
+import org.fieldtrestle.protocol.Settings;
+import org.fieldtrestle.transport.Http;
+import org.fieldtrestle.transport.Reactor;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/** Our side of the cloud, within this controller's part of its limit. */
+public final class Cloud {
+  private static final Logger LOG = LoggerFactory.getLogger(Cloud.class);
+
+  private final Reactor reactor;
+  private final Http.Caller caller;
+  private final String address;
+  private final long gapMs;
+  private final long timeoutMs;
+  private final ArrayDeque<Runnable> queue = new ArrayDeque<>();
+  private long nextAt;
+  private boolean scheduled;
+  private List<CloudWire.MachineType> types = List.of();
+
+  public Cloud(Reactor reactor, Http.Caller caller, Settings settings) {
+    this.reactor = reactor;
+    this.caller = caller;
+    this.address = settings.cloudAddress();
+    this.gapMs = Math.round(1000 / (settings.share(settings.cloud().rps()) * 0.9));
+    this.timeoutMs = Math.round(settings.cloud().listLagS() * 1000);
+  }
+
+  /** The machine types; empty until the cloud has told. */
+  public List<CloudWire.MachineType> types() {
+    return types;
+  }
+
+  /** Reads the types now and again and again, as spot prices move. */
+  public void start() {
+    call(
+        "GET",
+        CloudWire.TYPES,
+        Http.Response.EMPTY,
+        outcome -> {
+          if (outcome instanceof Http.Answer answer && answer.status() == 200) {
+            try {
+              types = CloudWire.readTypes(answer.body());
+            } catch (Json.Malformed e) {
+              LOG.warn("machine types are not as agreed: {}", e.getMessage());
+            }
+          }
+          reactor.schedule(types.isEmpty() ? gapMs : timeoutMs * 5, this::start);
+        });
+  }
+
+  /** How a rental went. */
+  public sealed interface Rent {}
+
+  public record Rented(List<String> machines) implements Rent {}
+
+  public record NoCapacity() implements Rent {}
+
+  /** May be repeated under the same name. */
+  public record Again() implements Rent {}
+
+  /** The cloud will not have it under any name. */
+  public record Wrong() implements Rent {}
+
+  public void rent(
+      String request, String type, String zone, boolean spot, int count, Consumer<Rent> done) {
+    call(
+        "POST",
+        CloudWire.MACHINES,
+        CloudWire.rent(request, type, zone, spot, count),
+        outcome -> done.accept(rent(outcome)));
+  }
+
+  private static Rent rent(Http.Outcome outcome) {
+    if (outcome instanceof Http.Answer answer) {
+      if (answer.status() == 200) {
+        try {
+          return new Rented(CloudWire.readRented(answer.body()));
+        } catch (Json.Malformed e) {
+          return new Again();
+        }
+      }
+      if (answer.status() == 400) {
+        return new Wrong();
+      }
+      if (answer.status() == 503
+          && Json.parseOrEmpty(answer.body()).path("error").asText("").equals("no capacity")) {
+        return new NoCapacity();
+      }
+    }
+    return new Again();
+  }
+
+  /** Returns machines; true once they and all that was on them are gone. */
+  public void giveBack(List<String> machines, Consumer<Boolean> done) {
+    call(
+        "POST",
+        CloudWire.RETURN,
+        CloudWire.giveBack(machines),
+        outcome -> done.accept(outcome instanceof Http.Answer answer && answer.status() == 200));
+  }
+
+  /** Reads the whole machine list; null where that failed. */
+  public void list(Consumer<List<CloudWire.Listed>> done) {
+    page("", new ArrayList<>(), done);
+  }
+
+  private void page(
+      String after, List<CloudWire.Listed> sofar, Consumer<List<CloudWire.Listed>> done) {
+    call(
+        "GET",
+        CloudWire.listPath(after),
+        Http.Response.EMPTY,
+        outcome -> {
+          if (outcome instanceof Http.Answer answer && answer.status() == 200) {
+            try {
+              CloudWire.Page page = CloudWire.readPage(answer.body());
+              sofar.addAll(page.machines());
+              if (page.more() && !page.machines().isEmpty()) {
+                page(page.machines().get(page.machines().size() - 1).machine(), sofar, done);
+              } else {
+                done.accept(sofar);
+              }
+              return;
+            } catch (Json.Malformed e) {
+              LOG.warn("machine list is not as agreed: {}", e.getMessage());
+            }
+          }
+          done.accept(null);
+        });
+  }
+
+  private void call(String method, String path, byte[] body, Consumer<Http.Outcome> done) {
+    queue.addLast(() -> caller.call(address, method, path, body, timeoutMs, done));
+    drain();
+  }
+
+  private void drain() {
+    if (scheduled || queue.isEmpty()) {
+      return;
+    }
+    long wait = nextAt - reactor.now();
+    if (wait > 0) {
+      scheduled = true;
+      reactor.schedule(
+          wait,
+          () -> {
+            scheduled = false;
+            drain();
+          });
+      return;
+    }
+    // Two may go close together: the cloud allows bursts.
+    nextAt = Math.max(nextAt + gapMs, reactor.now() - gapMs);
+    queue.removeFirst().run();
+    drain();
+  }
+}
--- /dev/null
+++ b/src/main/java/org/fieldtrestle/coordination/Controller.java
@@ -0,0 +1,296 @@
+package org.fieldtrestle.coordination;
+
+import com.github.benmanes.caffeine.cache.Cache;
+import com.github.benmanes.caffeine.cache.Caffeine;
+import java.nio.ByteBuffer;
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.TreeMap;
+import java.util.function.Consumer;
+import java.util.random.RandomGenerator;
+import org.fieldtrestle.bookkeeping.Records;
+import org.fieldtrestle.bookkeeping.Store;
+import org.fieldtrestle.bookkeeping.View;
+import org.fieldtrestle.protocol.Json;
+import org.fieldtrestle.protocol.PeerWire;
+import org.fieldtrestle.protocol.Settings;
+import org.fieldtrestle.protocol.StateWire;
+import org.fieldtrestle.protocol.UserWire;
+import org.fieldtrestle.protocol.WorkerWire;
+import org.fieldtrestle.transport.Http;
+import org.fieldtrestle.transport.PeerLink;
+import org.fieldtrestle.transport.Reactor;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/** One controller: its actors, and which of them gets which request. */
+public final class Controller implements Http.Handler {
+  private static final Logger LOG = LoggerFactory.getLogger(Controller.class);
+
+  private final Node node;
+  private final Reactor reactor;
+  private final View view;
+  private final PeerLink peers;
+  private final Loads loads;
+  private final Gateway gateway;
+  private final Map<String, Master> masters = new TreeMap<>();
+  private final Set<String> adopting = new HashSet<>();
+  private final Set<String> finishing = new HashSet<>();
+
+  /** Machines whose record went; a late report must not bring them back. */
+  private final Cache<String, Boolean> gone =
+      Caffeine.newBuilder().maximumSize(10_000).executor(Runnable::run).build();
+
+  private final Set<String> knownMachines = new HashSet<>();
+
+  public Controller(
+      Settings settings,
+      Tuning tuning,
+      Reactor reactor,
+      RandomGenerator random,
+      Http.Caller caller,
+      PeerLink peers) {
+    this.reactor = reactor;
+    this.peers = peers;
+    Store store = new Store(reactor, caller, settings);
+    this.view = new View(reactor, store, settings);
+    String boot = Long.toHexString(random.nextLong());
+    Membership membership = new Membership(reactor, store, view, settings, boot);
+    Cloud cloud = new Cloud(reactor, caller, settings);
+    this.node =
+        new Node(
+            settings, tuning, reactor, random, caller, store, view, cloud, membership, new Stats());
+    this.loads = new Loads(reactor, settings.label(), node.reportMs(1.2));
+    this.gateway = new Gateway(node, loads, this::running);
+  }
+
+  public void start() {
+    LOG.info("controller {} in zone {} starts", node.settings().label(), node.settings().zone());
+    view.listen(this::changed);
+    view.start();
+    node.cloud().start();
+    awaitView();
+  }
+
+  private void awaitView() {
+    if (!view.ready()) {
+      reactor.schedule(view.watchGapMs() / 3, this::awaitView);
+      return;
+    }
+    node.membership()
+        .start(
+            new Membership.Listener() {
+              @Override
+              public void began(String name, long epoch, boolean othersMayAct) {
+                Master old = masters.put(name, new Master(node, name, epoch, othersMayAct));
+                if (old != null) {
+                  old.tell(new Master.Ended());
+                }
+                masters.get(name).tell(new Master.Tick());
+              }
+
+              @Override
+              public void ended(String name) {
+                Master old = masters.remove(name);
+                if (old != null) {
+                  old.tell(new Master.Ended());
+                }
+              }
+            });
+    tick();
+    gossip();
+  }
+
+  private void tick() {
+    masters.values().forEach(master -> master.tell(new Master.Tick()));
+    finishComplete();
+    reactor.schedule(node.reportMs(0.2), this::tick);
+  }
+
+  private void gossip() {
+    if (node.acting()) {
+      for (Master master : masters.values()) {
+        if (master.isActive()) {
+          PeerWire.Load load = master.load();
+          loads.heard(load);
+          ByteBuffer frame = PeerWire.encode(load);
+          node.settings().peers().forEach(p -> peers.send(p.address(), frame.duplicate()));
+        }
+      }
+    }
+    reactor.schedule(node.reportMs(0.2), this::gossip);
+  }
+
+  /** A frame from another controller, without its length. */
+  public void frame(ByteBuffer frame) {
+    try {
+      if (PeerWire.decode(frame) instanceof PeerWire.Load load
+          && !masters.containsKey(load.master())) {
+        loads.heard(load);
+      }
+    } catch (PeerWire.BadFrame e) {
+      LOG.warn("peer frame refused: {}", e.getMessage());
+    }
+  }
+
+  private int running(String job) {
+    int sum = 0;
+    for (Master master : masters.values()) {
+      sum += master.runningOf(job);
+    }
+    return sum;
+  }
+
+  private void changed(Records.Key key) {
+    if (key instanceof Records.MachineKey k) {
+      if (view.machines().containsKey(k.machine())) {
+        knownMachines.add(k.machine());
+      } else if (knownMachines.remove(k.machine())) {
+        gone.put(k.machine(), true);
+      }
+    }
+    masters.values().forEach(master -> master.tell(new Master.Changed(key)));
+  }
+
+  /** Two masters that complete a job's last ranges at once may both miss that it is over. */
+  private void finishComplete() {
+    if (!node.acting() || node.store().crowded()) {
+      return;
+    }
+    for (Map.Entry<String, View.LiveJob> one : view.all().entrySet()) {
+      View.LiveJob job = one.getValue();
+      if (job.complete()
+          && masters.containsKey(job.ranges().firstEntry().getValue().record().master())
+          && !finishing.contains(one.getKey())) {
+        finish(one.getKey());
+        return;
+      }
+    }
+  }
+
+  private void finish(String job) {
+    List<StateWire.Condition> conditions = new ArrayList<>();
+    List<StateWire.Change> changes = new ArrayList<>();
+    if (!Finish.whole(node, job, conditions, changes)) {
+      return;
+    }
+    finishing.add(job);
+    node.store()
+        .commit(
+            new Store.Txn(conditions, changes),
+            result -> {
+              if (result instanceof Store.Committed committed) {
+                view.committed(changes, committed.revision());
+              }
+              reactor.schedule(node.reportMs(0.2), () -> finishing.remove(job));
+            });
+  }
+
+  // ---- requests
+
+  @Override
+  public void handle(Http.Request request, Consumer<Http.Response> reply) {
+    String path = request.path();
+    if (path.equals(WorkerWire.REPORT)) {
+      if (request.method().equals("POST")) {
+        report(request.body(), reply);
+      } else {
+        reply.accept(new Http.Response(405, Http.Response.EMPTY));
+      }
+    } else if (path.equals(UserWire.READY)) {
+      reply.accept(
+          gateway.ready()
+              ? new Http.Response(200, Http.Response.EMPTY)
+              : new Http.Response(503, Http.Response.EMPTY, 1));
+    } else if (path.equals(UserWire.STATS) && request.method().equals("GET")) {
+      reply.accept(new Http.Response(200, StatsPage.render(node, masters.values())));
+    } else if (path.equals(UserWire.JOBS)) {
+      if (request.method().equals("POST")) {
+        gateway.tell(new Gateway.Submit(request.body(), reply));
+      } else {
+        reply.accept(new Http.Response(405, Http.Response.EMPTY));
+      }
+    } else if (path.startsWith(UserWire.JOBS + "/")) {
+      job(request, path.substring(UserWire.JOBS.length() + 1), reply);
+    } else {
+      reply.accept(new Http.Response(404, Http.Response.EMPTY));
+    }
+  }
+
+  private void job(Http.Request request, String rest, Consumer<Http.Response> reply) {
+    int slash = rest.indexOf('/');
+    if (slash < 0 && request.method().equals("GET")) {
+      gateway.tell(new Gateway.Poll(rest, reply));
+    } else if (slash >= 0 && rest.substring(slash + 1).equals(UserWire.CANCEL)) {
+      if (request.method().equals("POST")) {
+        gateway.tell(new Gateway.Cancel(rest.substring(0, slash), reply));
+      } else {
+        reply.accept(new Http.Response(405, Http.Response.EMPTY));
+      }
+    } else if (slash < 0) {
+      reply.accept(new Http.Response(405, Http.Response.EMPTY));
+    } else {
+      reply.accept(new Http.Response(404, Http.Response.EMPTY));
+    }
+  }
+
+  private void report(byte[] body, Consumer<Http.Response> reply) {
+    WorkerWire.Report report;
+    try {
+      report = WorkerWire.readReport(body);
+    } catch (Json.Malformed e) {
+      reply.accept(new Http.Response(400, UserWire.error(e.getMessage())));
+      return;
+    }
+    if (!view.ready()) {
+      reply.accept(new Http.Response(503, Http.Response.EMPTY));
+      return;
+    }
+    View.Kept<Records.Machine> kept = view.machines().get(report.machine());
+    if (kept == null) {
+      adopt(report);
+      reply.accept(new Http.Response(503, Http.Response.EMPTY));
+      return;
+    }
+    Master master = masters.get(kept.record().master());
+    if (master != null) {
+      master.tell(new Master.Reported(report, reply));
+      return;
+    }
+    View.Kept<Records.Master> holder = view.master(kept.record().master());
+    String to = holder == null ? null : holder.record().holder();
+    reply.accept(
+        new Http.Response(
+            421, WorkerWire.redirect(node.settings().label().equals(to) ? null : to)));
+  }
+
+  /** A machine without a record reports: it becomes ours, unless it was returned just before. */
+  private void adopt(WorkerWire.Report report) {
+    Master master = masters.get(node.settings().label());
+    String id = report.machine();
+    if (master == null
+        || !master.running()
+        || gone.getIfPresent(id) != null
+        || !view.readable(Records.machine(id))
+        || !adopting.add(id)) {
+      return;
+    }
+    LOG.info("machine {} reports and is nobody's, adopting it", id);
+    Records.Machine record =
+        new Records.Machine(
+            master.name,
+            report.type(),
+            report.zone(),
+            report.spot(),
+            report.address(),
+            reactor.wall(),
+            true);
+    master.write(
+        List.of(new StateWire.Condition(Records.machine(id), 0)),
+        List.of(new StateWire.Put(Records.machine(id), Records.write(record), 0)),
+        committed -> adopting.remove(id));
+  }
+}
--- /dev/null
+++ b/src/main/java/org/fieldtrestle/coordination/Faults.java
@@ -0,0 +1,96 @@
+package org.fieldtrestle.coordination;
+
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.Map;
+import java.util.Set;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/**
+ * Tells machines that fail their tasks from jobs that fail on every machine. A machine is faulty
+ * when jobs fail there that are under no suspicion; a job is suspect when it failed on several
+ * machines and never succeeded.
+ */
+final class Faults {
+  private static final Logger LOG = LoggerFactory.getLogger(Faults.class);
+
+  /** Machines that a job without any success must have failed on to be suspect itself. */
+  private static final int SUSPECT_AFTER = 3;
+
+  /** Failures of unsuspected jobs without a success between them that condemn a machine. */
+  private static final int FAULTY_AFTER = 2;
+
+  private static final class JobRecord {
+    final Set<String> failedOn = new HashSet<>();
+    boolean succeeded;
+    boolean suspect;
+  }
+
+  private final Master master;
+  private final Map<String, JobRecord> jobs = new HashMap<>();
+
+  Faults(Master master) {
+    this.master = master;
+  }
+
+  void succeeded(Placed task, long now) {
+    task.host.errors = 0;
+    task.host.errorJobs.clear();
+    JobRecord job = jobs.get(task.task.job());
+    if (job != null) {
+      job.succeeded = true;
+      job.suspect = false;
+    }
+  }
+
+  /** A task failed; decides where and when it, and its machine's others, go next. */
+  void failed(Placed task, OwnedRange range, int offset, OwnedRange.Retry retry, long now) {
+    String id = task.task.job();
+    Host host = task.host;
+    JobRecord job = jobs.computeIfAbsent(id, j -> new JobRecord());
+    job.failedOn.add(host.id);
+    if (!job.suspect && !job.succeeded && job.failedOn.size() >= SUSPECT_AFTER) {
+      job.suspect = true;
+      LOG.warn("job {} fails on every machine: {}", id, job.failedOn);
+      for (Host other : master.hosts.values()) {
+        if (other.errorJobs.remove(id)) {
+          other.errors = other.errorJobs.size();
+          other.quarantineUntil = 0;
+          if (other.errors < FAULTY_AFTER && other.drainReason.equals("fails its tasks")) {
+            other.draining = false;
+            other.drainReason = "";
+          }
+        }
+      }
+    }
+    long pause = master.node.reportMs(0.5) << Math.min(retry.failures, 5);
+    retry.notBefore = now + (job.suspect ? pause : 0);
+    if (job.suspect) {
+      return;
+    }
+    host.errors++;
+    host.errorJobs.add(id);
+    host.quarantineUntil = now + master.node.reportMs(4);
+    if (host.errors >= FAULTY_AFTER && !host.draining) {
+      host.draining = true;
+      host.drainReason = "fails its tasks";
+      LOG.warn("machine {} fails its tasks, last of {}", host.id, id);
+    }
+  }
+
+  /** A task of a job is not tried again where it failed, unless the job fails everywhere. */
+  boolean avoids(OwnedRange range, Host host) {
+    JobRecord job = jobs.get(range.key.job());
+    return job != null && !job.suspect && job.failedOn.contains(host.id);
+  }
+
+  int failuresOf(OwnedRange range, int offset) {
+    OwnedRange.Retry retry = range.retries.get(offset);
+    return retry == null ? 0 : retry.failures;
+  }
+
+  void forgetEnded() {
+    jobs.keySet().removeIf(id -> master.node.view().job(id) == null);
+  }
+}
--- /dev/null
+++ b/src/main/java/org/fieldtrestle/coordination/Fleet.java
@@ -0,0 +1,482 @@
+package org.fieldtrestle.coordination;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import org.fieldtrestle.bookkeeping.Records;
+import org.fieldtrestle.protocol.CloudWire;
+import org.fieldtrestle.protocol.CloudWire.MachineType;
+import org.fieldtrestle.protocol.JobSpec;
+import org.fieldtrestle.protocol.StateWire;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/** A master's machines come and go here: rented for its backlog, returned when idle or no good. */
+final class Fleet {
+  private static final Logger LOG = LoggerFactory.getLogger(Fleet.class);
+
+  private final Master master;
+  private final Node node;
+  private final Faults faults;
+  private final Map<String, Long> refusedUntil = new HashMap<>();
+  private final Map<String, Long> strangers = new HashMap<>();
+  private final Map<String, Integer> missing = new HashMap<>();
+  private long requests;
+  private int renting;
+  private boolean giving;
+  private boolean listing;
+  private long listedAt;
+  private double arrivedWork;
+  private double load;
+  private double loadWeight;
+  private long loadAt = -1;
+
+  Fleet(Master master, Faults faults) {
+    this.master = master;
+    this.node = master.node;
+    this.faults = faults;
+  }
+
+  void activated() {
+    loadAt = node.now();
+    listedAt = node.now();
+  }
+
+  /** Work has come in. */
+  void arrived(OwnedRange range) {
+    if (range.spec != null) {
+      arrivedWork += machineSeconds(range.spec, range.waiting());
+    }
+  }
+
+  private long lagMs() {
+    return Math.round(node.settings().cloud().listLagS() * 1000);
+  }
+
+  void tick(long now) {
+    faults.forgetEnded();
+    list(now);
+    for (Host host : master.hosts.values()) {
+      judge(host, now);
+    }
+    giveBack(now);
+    rent(now);
+  }
+
+  // ---- what is wrong with machines
+
+  private void judge(Host host, long now) {
+    MachineType type = node.type(host.type);
+    if (host.draining || type == null) {
+      return;
+    }
+    if (host.heardAt < 0 && !host.up && host.ageMs(now) > type.bootS() * 3500) {
+      drain(host, "never came up");
+      return;
+    }
+    if (host.up && !host.lost && silent(host, now) && !zoneSilent(host, now)) {
+      drain(host, "silent while others of its zone report");
+      return;
+    }
+    if (host.lost && now - host.leaseFrom > 2 * node.settings().workerLeaseMs()) {
+      drain(host, "silent for two leases");
+      return;
+    }
+    if (host.up
+        && host.resolved
+        && host.empty()
+        && now - host.idleSince > idleMs(type)
+        && master.ranges.values().stream().noneMatch(r -> r.waiting() > 0 && !r.ended)
+        && spare(type)) {
+      drain(host, "idle");
+    }
+  }
+
+  private static long idleMs(MachineType type) {
+    return Math.round(type.bootS() * 600);
+  }
+
+  private boolean spare(MachineType type) {
+    int machines = 0;
+    for (Host host : master.hosts.values()) {
+      if (!host.draining) {
+        machines++;
+      }
+    }
+    return machines - 1 >= Math.ceil(target());
+  }
+
+  private boolean silent(Host host, long now) {
+    long since = Math.max(host.heardAt, host.leaseFrom);
+    return now - since > node.reportMs(4);
+  }
+
+  /** Most of a zone silent at once is a cut, not the machines. */
+  private boolean zoneSilent(Host host, long now) {
+    int all = 0;
+    int silent = 0;
+    for (Host other : master.hosts.values()) {
+      if (other.up && other.zone.equals(host.zone) && other != host) {
+        all++;
+        if (now - Math.max(other.heardAt, other.leaseFrom) > node.reportMs(2)) {
+          silent++;
+        }
+      }
+    }
+    return silent > 0 && silent * 2 >= all;
+  }
+
+  private void drain(Host host, String why) {
+    host.draining = true;
+    host.drainReason = why;
+    LOG.info("machine {} goes: {}", host.id, why);
+  }
+
+  // ---- giving back
+
+  private void giveBack(long now) {
+    if (giving) {
+      return;
+    }
+    List<String> names = new ArrayList<>();
+    for (Host host : master.hosts.values()) {
+      if (names.size() < CloudWire.MAX_RETURN
+          && (host.returning || host.draining && mayGo(host, now))) {
+        host.returning = true;
+        names.add(host.id);
+      }
+    }
+    if (names.isEmpty()) {
+      return;
+    }
+    giving = true;
+    node.cloud()
+        .giveBack(
+            names,
+            gone -> {
+              giving = false;
+              if (gone && !master.isOver()) {
+                names.forEach(this::returned);
+              }
+            });
+  }
+
+  private boolean mayGo(Host host, long now) {
+    if (host.noticeUntil >= 0) {
+      // Charged until it is taken; it may finish what it has until then.
+      return host.empty() || now > host.noticeUntil + node.reportMs(1) && silent(host, now);
+    }
+    return host.empty() && host.quiet()
+        || host.lost
+        || silent(host, now)
+        || host.drainReason.equals("fails its tasks") && host.empty();
+  }
+
+  /** The cloud has answered: the machine and all that was on it are gone. */
+  private void returned(String id) {
+    Host host = master.hosts.get(id);
+    if (host == null) {
+      return;
+    }
+    node.stats().returned++;
+    host.lost = true;
+    master.loseTasks(host, "returned (" + host.drainReason + ")");
+    forget(id);
+  }
+
+  private void forget(String id) {
+    var kept = node.view().machines().get(id);
+    if (kept == null || master.isOver()) {
+      return;
+    }
+    master.write(
+        List.of(new StateWire.Condition(Records.machine(id), kept.version())),
+        List.of(new StateWire.Delete(Records.machine(id))),
+        committed -> {
+          if (!committed) {
+            forget(id);
+          }
+        });
+  }
+
+  // ---- the machine list
+
+  private void list(long now) {
+    if (listing || now - listedAt < lagMs()) {
+      return;
+    }
+    listing = true;
+    listedAt = now;
+    node.cloud()
+        .list(
+            machines -> {
+              listing = false;
+              if (machines != null && master.running()) {
+                compare(machines, node.now());
+              }
+            });
+  }
+
+  private void compare(List<CloudWire.Listed> machines, long now) {
+    Set<String> listed = new HashSet<>();
+    for (CloudWire.Listed one : machines) {
+      listed.add(one.machine());
+      Host host = master.hosts.get(one.machine());
+      if (host != null && one.failed() && !host.returning) {
+        drain(host, "stopped by itself");
+        host.lost = true;
+        host.returning = true;
+      }
+      if (host == null && !node.view().machines().containsKey(one.machine())) {
+        stranger(one, now);
+      }
+    }
+    strangers.keySet().retainAll(listed);
+    for (Host host : master.hosts.values()) {
+      if (listed.contains(host.id) || host.ageMs(now) < 4 * lagMs()) {
+        missing.remove(host.id);
+      } else if (missing.merge(host.id, 1, Integer::sum) >= 3 && silent(host, now)) {
+        if (!host.draining) {
+          drain(host, "no longer listed");
+        }
+        host.returning = true;
+      }
+    }
+    missing.keySet().retainAll(master.hosts.keySet());
+  }
+
+  /** A machine that nobody has a record of: a late rental, or one whose renter died. */
+  private void stranger(CloudWire.Listed one, long now) {
+    long since = strangers.computeIfAbsent(one.machine(), m -> now);
+    if (!node.membership().first()
+        || !master.name.equals(node.membership().self())
+        || now - since < 3 * lagMs()) {
+      return;
+    }
+    LOG.info("machine {} is nobody's, adopting it", one.machine());
+    adopt(one.machine(), one.type(), one.zone(), one.spot(), one.address(), true);
+  }
+
+  void adopt(String id, String type, String zone, boolean spot, String address, boolean up) {
+    Records.Machine record =
+        new Records.Machine(master.name, type, zone, spot, address, node.reactor().wall(), up);
+    master.write(
+        List.of(new StateWire.Condition(Records.machine(id), 0)),
+        List.of(new StateWire.Put(Records.machine(id), Records.write(record), 0)),
+        committed -> {});
+  }
+
+  // ---- renting
+
+  /** How many seconds of a whole machine some tasks of a job take. */
+  private double machineSeconds(JobSpec spec, int tasks) {
+    MachineType type = typeFor(spec);
+    return type == null ? 0 : tasks * spec.estimateS() / perMachine(type, spec);
+  }
+
+  static int perMachine(MachineType type, JobSpec spec) {
+    double most = 10_000;
+    if (spec.cpus() > 0) {
+      most = Math.min(most, type.cpus() / spec.cpus());
+    }
+    if (spec.gpus() > 0) {
+      most = Math.min(most, type.gpus() / spec.gpus());
+    }
+    if (spec.memoryGb() > 0) {
+      most = Math.min(most, type.memoryGb() / spec.memoryGb());
+    }
+    return Math.max(1, (int) Math.floor(most + 1e-6));
+  }
+
+  /** The type on which a task of the job costs least. */
+  private MachineType typeFor(JobSpec spec) {
+    MachineType best = null;
+    double bestPrice = 0;
+    for (MachineType type : node.types()) {
+      if (type.allowedFor(spec)) {
+        double price =
+            (spec.spot() && type.spotPrice() > 0 ? type.spotPrice() : type.price())
+                / perMachine(type, spec);
+        if (best == null || price < bestPrice) {
+          best = type;
+          bestPrice = price;
+        }
+      }
+    }
+    return best;
+  }
+
+  /** Machines that the usual flow of work keeps busy, with some room to spare. */
+  private double target() {
+    return loadWeight < 0.05 ? 0 : load / loadWeight * 1.2;
+  }
+
+  private void measure(long now) {
+    double seconds = (now - loadAt) / 1000.0;
+    if (seconds <= 0) {
+      return;
+    }
+    double fade = Math.exp(-seconds / 150);
+    load = load * fade + arrivedWork / seconds * (1 - fade);
+    loadWeight = loadWeight * fade + (1 - fade);
+    arrivedWork = 0;
+    loadAt = now;
+  }
+
+  private record Need(MachineType type, boolean spot, String zone, double machines) {}
+
+  private void rent(long now) {
+    measure(now);
+    if (renting > 0 || node.types().isEmpty() || node.store().crowded()) {
+      return;
+    }
+    Map<String, Need> needs = new HashMap<>();
+    double waitingWork = 0;
+    for (OwnedRange range : master.ranges.values()) {
+      JobSpec spec = range.spec;
+      if (spec == null || range.ended || range.waiting() == 0) {
+        continue;
+      }
+      MachineType type = typeFor(spec);
+      if (type == null) {
+        continue;
+      }
+      double work = machineSeconds(spec, range.waiting());
+      waitingWork += work;
+      String zone = range.zone != null ? range.zone : spec.zone();
+      String key = type.name() + "/" + spec.spot() + "/" + zone;
+      double before = needs.containsKey(key) ? needs.get(key).machines() : 0;
+      needs.put(key, new Need(type, spec.spot(), zone, before + work));
+    }
+    if (needs.isEmpty()) {
+      return;
+    }
+    Need largest = null;
+    for (Need need : needs.values()) {
+      if (largest == null || need.machines() > largest.machines()) {
+        largest = need;
+      }
+    }
+    MachineType type = largest.type();
+    double horizon = type.bootS() * 2;
+    double room = 0;
+    int machines = 0;
+    for (Host host : master.hosts.values()) {
+      if (host.draining || host.lost) {
+        continue;
+      }
+      machines++;
+      double boot =
+          host.up ? 0 : Math.max(type.bootS() * 0.2, type.bootS() - host.ageMs(now) / 1000.0);
+      room += horizon - boot;
+      for (Placed task : host.placed.values()) {
+        if (task.live() && task.range != null && task.range.spec != null) {
+          JobSpec spec = task.range.spec;
+          room -=
+              Math.min(horizon, Math.max(2, task.remainingS(now, spec.estimateS())))
+                  / perMachine(type, spec);
+        }
+      }
+    }
+    int wanted =
+        (int) Math.ceil((waitingWork - Math.max(0, room)) / (horizon - type.bootS()) - 0.2);
+    wanted = Math.max(wanted, (int) Math.ceil(target()) - machines);
+    if (wanted > 0) {
+      hire(largest, Math.min(wanted, CloudWire.MAX_RENT), now);
+    }
+  }
+
+  private void hire(Need need, int count, long now) {
+    List<String> zones = new ArrayList<>();
+    for (String zone : need.type().zones()) {
+      if (need.zone() == null || need.zone().equals(zone)) {
+        zones.add(zone);
+      }
+    }
+    // The own zone first: a cut then parts a master from few of its machines.
+    zones.sort(
+        (a, b) ->
+            Boolean.compare(b.equals(node.settings().zone()), a.equals(node.settings().zone())));
+    for (boolean spot : need.spot() ? new boolean[] {true, false} : new boolean[] {false}) {
+      for (String zone : zones) {
+        String place = need.type().name() + "/" + zone + "/" + spot;
+        if (refusedUntil.getOrDefault(place, 0L) <= now) {
+          String request =
+              "r-"
+                  + node.membership().self()
+                  + "-"
+                  + master.name
+                  + "-"
+                  + master.epoch
+                  + "-"
+                  + ++requests;
+          renting++;
+          rentNow(request, need.type().name(), zone, spot, count, 0);
+          return;
+        }
+      }
+    }
+  }
+
+  private void rentNow(
+      String request, String type, String zone, boolean spot, int count, int tries) {
+    node.cloud()
+        .rent(
+            request,
+            type,
+            zone,
+            spot,
+            count,
+            rent -> {
+              if (master.isOver()) {
+                return;
+              }
+              long now = node.now();
+              if (rent instanceof Cloud.Rented rented) {
+                renting--;
+                node.stats().rented += rented.machines().size();
+                LOG.info(
+                    "rented {} {} machines in {} of {} wanted: {}",
+                    rented.machines().size(),
+                    spot ? "spot" : "ordinary",
+                    zone,
+                    count,
+                    rented.machines());
+                if (rented.machines().size() < count) {
+                  refusedUntil.put(type + "/" + zone + "/" + spot, now + 2 * lagMs());
+                }
+                for (String id : rented.machines()) {
+                  record(id, type, zone, spot);
+                }
+              } else if (rent instanceof Cloud.Again && tries < 20) {
+                // The same name again: if it was executed, this gets the same machines.
+                node.reactor()
+                    .schedule(
+                        lagMs() / 4, () -> rentNow(request, type, zone, spot, count, tries + 1));
+              } else {
+                renting--;
+                refusedUntil.put(type + "/" + zone + "/" + spot, now + 2 * lagMs());
+              }
+            });
+  }
+
+  /** Makes a machine ours; somebody may have adopted it before, as it can be up at once. */
+  private void record(String id, String type, String zone, boolean spot) {
+    if (master.isOver() || node.view().machines().containsKey(id)) {
+      return;
+    }
+    Records.Machine record =
+        new Records.Machine(master.name, type, zone, spot, "", node.reactor().wall(), false);
+    master.write(
+        List.of(new StateWire.Condition(Records.machine(id), 0)),
+        List.of(new StateWire.Put(Records.machine(id), Records.write(record), 0)),
+        committed -> {
+          if (!committed) {
+            record(id, type, zone, spot);
+          }
+        });
+  }
+}
--- /dev/null
+++ b/src/main/java/org/fieldtrestle/coordination/Gateway.java
@@ -0,0 +1,354 @@
+package org.fieldtrestle.coordination;
+
+import com.github.benmanes.caffeine.cache.Cache;
+import com.github.benmanes.caffeine.cache.Caffeine;
+import java.util.ArrayList;
+import java.util.BitSet;
+import java.util.List;
+import java.util.TreeSet;
+import java.util.function.Consumer;
+import org.fieldtrestle.bookkeeping.Records;
+import org.fieldtrestle.bookkeeping.Store;
+import org.fieldtrestle.bookkeeping.View;
+import org.fieldtrestle.protocol.CloudWire.MachineType;
+import org.fieldtrestle.protocol.JobSpec;
+import org.fieldtrestle.protocol.Json;
+import org.fieldtrestle.protocol.Settings;
+import org.fieldtrestle.protocol.StateWire;
+import org.fieldtrestle.protocol.UserWire;
+import org.fieldtrestle.protocol.UserWire.Stage;
+import org.fieldtrestle.transport.Actor;
+import org.fieldtrestle.transport.Http;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/** Takes submissions, polls and cancellations. */
+public final class Gateway extends Actor<Gateway.Message> {
+  private static final Logger LOG = LoggerFactory.getLogger(Gateway.class);
+
+  /** Ended jobs whose end is remembered here; all others are read again. */
+  private static final int REMEMBERED = 20_000;
+
+  /** Submissions on their way to the state service; beyond these users are told to come back. */
+  private static final int MOST_SUBMITTING = 24;
+
+  /** What users ask. */
+  public sealed interface Message {}
+
+  public record Submit(byte[] body, Consumer<Http.Response> reply) implements Message {}
+
+  public record Poll(String id, Consumer<Http.Response> reply) implements Message {}
+
+  public record Cancel(String id, Consumer<Http.Response> reply) implements Message {}
+
+  private final Node node;
+  private final Barrier barrier;
+  private final Loads loads;
+  private final Running running;
+  private final Cache<String, Records.Final> ended =
+      Caffeine.newBuilder().maximumSize(REMEMBERED).executor(Runnable::run).build();
+  private int submitting;
+
+  /** How many tasks of a job run here. */
+  public interface Running {
+    int of(String job);
+  }
+
+  public Gateway(Node node, Loads loads, Running running) {
+    super(node.reactor());
+    this.node = node;
+    this.barrier = new Barrier(node);
+    this.loads = loads;
+    this.running = running;
+  }
+
+  /** Whether this node can take requests. */
+  public boolean ready() {
+    return node.view().ready() && !node.types().isEmpty();
+  }
+
+  @Override
+  protected void receive(Message message) {
+    if (message instanceof Submit submit) {
+      long began = node.now();
+      submit(
+          submit.body(),
+          response -> {
+            Stats.record(node.stats().submitMs, node.now() - began);
+            submit.reply().accept(response);
+          });
+    } else if (message instanceof Poll poll) {
+      long began = node.now();
+      status(
+          poll.id(),
+          response -> {
+            Stats.record(node.stats().pollMs, node.now() - began);
+            poll.reply().accept(response);
+          },
+          false);
+    } else if (message instanceof Cancel cancel) {
+      cancel(cancel.id(), cancel.reply(), 3);
+    }
+  }
+
+  private Http.Response later() {
+    return new Http.Response(503, Http.Response.EMPTY, 1);
+  }
+
+  private static Http.Response refuse(int status, String reason) {
+    return new Http.Response(status, UserWire.error(reason));
+  }
+
+  // ---- submissions
+
+  private void submit(byte[] body, Consumer<Http.Response> reply) {
+    JobSpec spec;
+    try {
+      spec = UserWire.readJob(body);
+    } catch (Json.Malformed e) {
+      reply.accept(refuse(400, e.getMessage()));
+      return;
+    }
+    if (!node.view().ready()) {
+      reply.accept(later());
+      return;
+    }
+    if (ended.getIfPresent(spec.id()) != null || node.view().job(spec.id()) != null) {
+      status(spec.id(), reply, true);
+      return;
+    }
+    if (node.types().isEmpty()) {
+      reply.accept(later());
+      return;
+    }
+    String never = never(spec);
+    if (never != null) {
+      // It may have been accepted while the settings were others: that stands.
+      status(
+          spec.id(),
+          response -> reply.accept(response.status() == 404 ? refuse(422, never) : response),
+          true);
+      return;
+    }
+    if (submitting >= MOST_SUBMITTING || node.store().crowded()) {
+      node.stats().refusedSubmissions++;
+      reply.accept(new Http.Response(429, Http.Response.EMPTY, 1));
+      return;
+    }
+    submitting++;
+    accept(
+        spec,
+        response -> {
+          submitting--;
+          reply.accept(response);
+        });
+  }
+
+  private String never(JobSpec spec) {
+    Settings.Team team = node.settings().team(spec.team());
+    if (team == null) {
+      return "unknown team";
+    }
+    if (team.cpusMax() > 0 && spec.cpus() > team.cpusMax()
+        || team.gpusMax() > 0 && spec.gpus() > team.gpusMax()) {
+      return "a task needs more than the team's limit";
+    }
+    for (MachineType type : node.types()) {
+      if (type.allowedFor(spec)) {
+        return null;
+      }
+    }
+    return "a task fits no allowed machine type";
+  }
+
+  private void accept(JobSpec spec, Consumer<Http.Response> reply) {
+    String zone = spec.oneZone() ? loads.roomiestZone(spec, zonesFor(spec)) : null;
+    List<Split.Candidate> candidates = loads.candidates(spec, zone);
+    int maxRanges = node.settings().state().txnOps() - 4;
+    // A bitmap of done tasks has to fit a value; half of it is left for the rest.
+    int maxPart = (int) (node.settings().state().valueKb() * 1024 / 2 * 6);
+    List<Split.Part> parts = Split.split(spec, candidates, maxPart, node.settings().zones());
+    if (parts.size() > maxRanges) {
+      parts = Split.split(spec, candidates.subList(0, 1), maxPart, node.settings().zones());
+    }
+    Records.Job job = new Records.Job(spec, reactor.wall(), zone, parts.size());
+    List<StateWire.Condition> conditions =
+        List.of(
+            new StateWire.Condition(Records.job(spec.id()), 0),
+            new StateWire.Condition(Records.finished(spec.id()), 0));
+    List<StateWire.Change> changes = new ArrayList<>();
+    changes.add(new StateWire.Put(Records.job(spec.id()), Records.write(job), 0));
+    for (int i = 0; i < parts.size(); i++) {
+      Split.Part part = parts.get(i);
+      Records.Range range =
+          new Records.Range(
+              part.master(),
+              part.from(),
+              part.to(),
+              new BitSet(),
+              part.caps(),
+              spec.team(),
+              spec.cpus(),
+              spec.gpus());
+      changes.add(
+          new StateWire.Put(
+              Records.range(new Records.RangeKey(spec.id(), i)), Records.write(range), 0));
+    }
+    List<Split.Part> taken = parts;
+    node.store()
+        .commit(
+            new Store.Txn(conditions, changes),
+            result -> {
+              if (result instanceof Store.Committed committed) {
+                loads.taken(spec, taken);
+                node.view().committed(changes, committed.revision());
+                LOG.debug("job {} accepted in {} ranges", spec.id(), taken.size());
+                reply.accept(new Http.Response(201, UserWire.accepted(spec.id(), Stage.QUEUED)));
+              } else if (result instanceof Store.Conflict) {
+                status(spec.id(), reply, true);
+              } else {
+                node.stats().refusedSubmissions++;
+                reply.accept(later());
+              }
+            });
+  }
+
+  private List<String> zonesFor(JobSpec spec) {
+    TreeSet<String> zones = new TreeSet<>();
+    for (MachineType type : node.types()) {
+      if (type.allowedFor(spec)) {
+        zones.addAll(type.zones());
+      }
+    }
+    if (spec.zone() != null) {
+      zones.retainAll(List.of(spec.zone()));
+    }
+    return List.copyOf(zones);
+  }
+
+  // ---- polls
+
+  /** The job's state, no older than any that was told before; 404 where there is none. */
+  private void status(String id, Consumer<Http.Response> reply, boolean brief) {
+    Records.Final end = ended.getIfPresent(id);
+    if (end != null) {
+      reply.accept(finalAnswer(id, end, brief));
+      return;
+    }
+    if (!UserWire.validId(id)) {
+      reply.accept(refuse(404, "no such job"));
+      return;
+    }
+    if (!node.view().ready()) {
+      reply.accept(later());
+      return;
+    }
+    barrier.pass(
+        passed -> {
+          if (!passed) {
+            reply.accept(later());
+            return;
+          }
+          View.LiveJob job = node.view().job(id);
+          if (job != null) {
+            reply.accept(liveAnswer(id, job, brief));
+          } else if (node.view().version(Records.job(id)) != 0) {
+            reply.accept(later()); // there, but not to be read by this version
+          } else {
+            readFinal(id, reply, brief);
+          }
+        });
+  }
+
+  private void readFinal(String id, Consumer<Http.Response> reply, boolean brief) {
+    node.store()
+        .get(
+            Records.finished(id),
+            entry -> {
+              if (entry == null) {
+                reply.accept(later());
+              } else if (entry.value() == null) {
+                // It may have been accepted since we passed the barrier.
+                View.LiveJob job = node.view().job(id);
+                reply.accept(job != null ? liveAnswer(id, job, brief) : refuse(404, "no such job"));
+              } else {
+                try {
+                  Records.Final end = Records.readFinal(entry.value());
+                  ended.put(id, end);
+                  reply.accept(finalAnswer(id, end, brief));
+                } catch (Records.Unreadable e) {
+                  LOG.error("unreadable value at state key {}: {}", entry.key(), e.getMessage());
+                  reply.accept(later());
+                }
+              }
+            });
+  }
+
+  private Http.Response liveAnswer(String id, View.LiveJob job, boolean brief) {
+    int runs = running.of(id);
+    int done = job.done();
+    Stage stage = runs > 0 || done > 0 ? Stage.RUNNING : Stage.QUEUED;
+    return new Http.Response(
+        200, brief ? UserWire.accepted(id, stage) : UserWire.status(id, stage, done, runs));
+  }
+
+  private static Http.Response finalAnswer(String id, Records.Final end, boolean brief) {
+    Stage stage = end.done() ? Stage.DONE : Stage.CANCELLED;
+    return new Http.Response(
+        200, brief ? UserWire.accepted(id, stage) : UserWire.status(id, stage, end.finished(), 0));
+  }
+
+  // ---- cancellations
+
+  private void cancel(String id, Consumer<Http.Response> reply, int tries) {
+    Records.Final end = ended.getIfPresent(id);
+    if (end != null) {
+      reply.accept(finalAnswer(id, end, true));
+      return;
+    }
+    if (!node.view().ready()) {
+      reply.accept(later());
+      return;
+    }
+    View.LiveJob job = node.view().job(id);
+    if (job == null) {
+      status(id, reply, true);
+      return;
+    }
+    Records.Final cancelled =
+        new Records.Final(false, job.job().record().spec().tasks(), job.done());
+    List<StateWire.Change> changes =
+        List.of(
+            new StateWire.Delete(Records.job(id)),
+            new StateWire.Put(Records.finished(id), Records.write(cancelled), 0));
+    node.store()
+        .commit(
+            new Store.Txn(
+                List.of(
+                    new StateWire.Condition(Records.job(id), job.job().version()),
+                    new StateWire.Condition(Records.finished(id), 0)),
+                changes),
+            result -> {
+              if (result instanceof Store.Committed committed) {
+                ended.put(id, cancelled);
+                node.view().committed(changes, committed.revision());
+                LOG.info("job {} cancelled", id);
+                reply.accept(finalAnswer(id, cancelled, true));
+              } else if (result instanceof Store.Conflict conflict && tries > 0) {
+                node.view()
+                    .await(
+                        conflict.revision(),
+                        node.view().watchGapMs() * 8,
+                        seen -> {
+                          if (seen) {
+                            cancel(id, reply, tries - 1);
+                          } else {
+                            reply.accept(later());
+                          }
+                        });
+              } else {
+                reply.accept(later());
+              }
+            });
+  }
+}
--- /dev/null
+++ b/src/main/java/org/fieldtrestle/coordination/Master.java
@@ -0,0 +1,1091 @@
+package org.fieldtrestle.coordination;
+
+import java.util.ArrayList;
+import java.util.BitSet;
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.TreeMap;
+import java.util.function.Consumer;
+import org.fieldtrestle.bookkeeping.Records;
+import org.fieldtrestle.bookkeeping.Store;
+import org.fieldtrestle.bookkeeping.View;
+import org.fieldtrestle.protocol.CloudWire.MachineType;
+import org.fieldtrestle.protocol.JobSpec;
+import org.fieldtrestle.protocol.Json;
+import org.fieldtrestle.protocol.PeerWire;
+import org.fieldtrestle.protocol.Settings;
+import org.fieldtrestle.protocol.StateWire;
+import org.fieldtrestle.protocol.TaskId;
+import org.fieldtrestle.protocol.WorkerWire;
+import org.fieldtrestle.transport.Actor;
+import org.fieldtrestle.transport.Http;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/**
+ * One of Falcon's masters: places the tasks of its ranges on its machines. Where tasks are is known
+ * from reports alone; whoever acts as this master next learns it from them again.
+ */
+public final class Master extends Actor<Master.Message> {
+  private static final Logger LOG = LoggerFactory.getLogger(Master.class);
+
+  /**
+   * Tokens and attempts are the epoch and a count within it: a later epoch's are higher than all of
+   * an earlier one's, without any write.
+   */
+  private static final int EPOCH_BITS = 24;
+
+  private static final int MOST_ORDERS = 200;
+
+  /** What a master is told. */
+  public sealed interface Message {}
+
+  /** A worker of its machines reports. */
+  public record Reported(WorkerWire.Report report, Consumer<Http.Response> reply)
+      implements Message {}
+
+  /** A key that it may care for has changed. */
+  public record Changed(Records.Key key) implements Message {}
+
+  /** Time has passed. */
+  public record Tick() implements Message {}
+
+  /** The epoch is over. */
+  public record Ended() implements Message {}
+
+  final Node node;
+  final String name;
+  final long epoch;
+  final Map<String, Host> hosts = new TreeMap<>();
+  final Map<Records.RangeKey, OwnedRange> ranges = new TreeMap<>();
+  private final Falcon falcon;
+  private final Fleet fleet;
+  private final Shares shares;
+  private final Faults faults;
+  private final boolean othersMayAct;
+  private final long begunAt;
+  private boolean active;
+  private boolean over;
+  private long attempts;
+  private boolean passDue;
+  private long lastEviction;
+
+  public Master(Node node, String name, long epoch, boolean othersMayAct) {
+    super(node.reactor());
+    this.node = node;
+    this.name = name;
+    this.epoch = epoch;
+    this.othersMayAct = othersMayAct;
+    this.begunAt = node.now();
+    this.falcon = new Falcon(node.tuning(), node.random());
+    this.faults = new Faults(this);
+    this.fleet = new Fleet(this, faults);
+    this.shares = new Shares(this);
+  }
+
+  @Override
+  protected void receive(Message message) {
+    if (over) {
+      if (message instanceof Reported reported) {
+        reported.reply().accept(new Http.Response(503, Http.Response.EMPTY));
+      }
+      return;
+    }
+    if (!active && node.view().followed() >= epoch) {
+      activate();
+    }
+    if (message instanceof Reported reported) {
+      reported(reported.report(), reported.reply());
+    } else if (message instanceof Changed changed) {
+      changed(changed.key());
+    } else if (message instanceof Tick) {
+      tick();
+    } else if (message instanceof Ended) {
+      over = true;
+    }
+  }
+
+  boolean running() {
+    return active && !over && node.acting();
+  }
+
+  boolean isOver() {
+    return over;
+  }
+
+  long firstToken() {
+    return epoch << EPOCH_BITS;
+  }
+
+  /** The condition that makes every write of this epoch fail once the next has begun. */
+  StateWire.Condition guard() {
+    return new StateWire.Condition(Records.master(name), epoch);
+  }
+
+  /** Everything written before this epoch began is known now. */
+  private void activate() {
+    active = true;
+    node.view().machines().forEach((id, kept) -> syncHost(id));
+    for (var job : List.copyOf(node.view().all().entrySet())) {
+      for (int index : List.copyOf(job.getValue().ranges().keySet())) {
+        syncRange(new Records.RangeKey(job.getKey(), index), true);
+      }
+    }
+    LOG.info(
+        "master {} begins epoch {} with {} machines and {} ranges",
+        name,
+        epoch,
+        hosts.size(),
+        ranges.size());
+    fleet.activated();
+  }
+
+  private void changed(Records.Key key) {
+    if (!active) {
+      return;
+    }
+    if (key instanceof Records.RangeKey k) {
+      syncRange(k, false);
+    } else if (key instanceof Records.MachineKey k) {
+      syncHost(k.machine());
+    } else if (key instanceof Records.JobKey k) {
+      for (OwnedRange range : List.copyOf(ranges.values())) {
+        if (range.key.job().equals(k.job())) {
+          refreshJob(range);
+        }
+      }
+    }
+    passSoon();
+  }
+
+  // ---- machines
+
+  private void syncHost(String id) {
+    View.Kept<Records.Machine> kept = node.view().machines().get(id);
+    Host host = hosts.get(id);
+    if (kept == null || !kept.record().master().equals(name)) {
+      if (host != null) {
+        loseTasks(host, "its record is gone");
+        hosts.remove(id);
+      }
+      return;
+    }
+    Records.Machine record = kept.record();
+    if (host == null) {
+      long age = Math.max(0, reactor.wall() - record.sinceWall());
+      host =
+          new Host(
+              id,
+              record.type(),
+              record.zone(),
+              record.spot(),
+              record.address(),
+              firstToken(),
+              node.now());
+      host.bootingFor(age);
+      if (kept.version() < epoch) {
+        host.leaseFrom = node.now() + (othersMayAct ? node.membership().usableMs() : 0);
+      }
+      // One that came up in this epoch cannot have been given anything before it.
+      host.resolved = kept.version() > epoch || !record.up();
+      hosts.put(id, host);
+    }
+    host.up = record.up();
+    if (host.up) {
+      host.markingUp = false;
+    }
+  }
+
+  private void reported(WorkerWire.Report report, Consumer<Http.Response> reply) {
+    Host host = hosts.get(report.machine());
+    if (!active || host == null || !node.acting() || host.returning) {
+      reply.accept(new Http.Response(503, Http.Response.EMPTY));
+      return;
+    }
+    if (report.token() > host.token) {
+      LOG.warn("machine {} has seen token {}, above ours", host.id, report.token());
+      if (report.token() >= (epoch + 1) << EPOCH_BITS) {
+        reply.accept(new Http.Response(503, Http.Response.EMPTY));
+        return;
+      }
+      host.token = report.token();
+    }
+    learn(host, report);
+    markUp(host);
+    host.leaseFrom = Math.max(host.leaseFrom, node.now());
+    List<WorkerWire.Command> orders = List.of();
+    if (host.resolved && host.seenToken >= firstToken()) {
+      pass();
+      orders = host.orders(mayStart(host), MOST_ORDERS);
+    }
+    reply.accept(new Http.Response(200, WorkerWire.answer(host.token, orders)));
+    sendDirect();
+  }
+
+  private boolean mayStart(Host host) {
+    return host.up && !host.lost && !host.returning && host.seenToken >= firstToken();
+  }
+
+  private void markUp(Host host) {
+    if (host.up || host.markingUp) {
+      return;
+    }
+    View.Kept<Records.Machine> kept = node.view().machines().get(host.id);
+    if (kept == null) {
+      return;
+    }
+    host.markingUp = true;
+    Records.Machine old = kept.record();
+    Records.Machine up =
+        new Records.Machine(
+            name, old.type(), old.zone(), old.spot(), host.address, old.sinceWall(), true);
+    write(
+        List.of(new StateWire.Condition(Records.machine(host.id), kept.version())),
+        List.of(new StateWire.Put(Records.machine(host.id), Records.write(up), 0)),
+        committed -> {
+          host.markingUp = false;
+          if (committed) {
+            LOG.info("machine {} is up after {} s", host.id, host.ageMs(node.now()) / 1000);
+          }
+        });
+  }
+
+  /** Takes in a report, or the report in the answer to a direct command. */
+  private void learn(Host host, WorkerWire.Report report) {
+    long now = node.now();
+    host.heardAt = now;
+    if (!report.newerThan(host.session, host.seq)) {
+      return;
+    }
+    if (host.lost && report.session() == host.session) {
+      return; // sent before its lease ran out, and late
+    }
+    host.lost = false;
+    host.seq = report.seq();
+    host.address = report.address();
+    host.seenToken = Math.max(host.seenToken, report.token());
+    notice(host, report.noticeS());
+    if (report.session() != host.session) {
+      if (host.session >= 0) {
+        LOG.info("machine {} is in session {} now", host.id, report.session());
+        host.session = report.session();
+        loseTasks(host, "its lease ran out");
+      }
+      host.session = report.session();
+    }
+    if (report.token() < firstToken()) {
+      return; // may still be given commands of an earlier epoch
+    }
+    if (!host.resolved) {
+      host.resolved = true;
+      LOG.debug("machine {} is known with {} tasks", host.id, report.tasks().size());
+    }
+    reconcile(host, report);
+    if (!host.empty()) {
+      host.idleSince = now;
+    }
+    passSoon();
+  }
+
+  private void reconcile(Host host, WorkerWire.Report report) {
+    Set<Placed> seen = new HashSet<>();
+    host.ghosts.clear();
+    for (WorkerWire.ReportedTask reported : report.tasks()) {
+      Placed task = host.placed.get(reported.task());
+      if (task == null || task.attempt != reported.attempt()) {
+        task = found(host, reported, task);
+      }
+      if (task == null) {
+        host.ghosts.add(reported);
+      } else {
+        seen.add(task);
+        follow(task, reported);
+      }
+    }
+    for (Placed task : List.copyOf(host.placed.values())) {
+      if (seen.contains(task)) {
+        continue;
+      }
+      if (task.state == Placed.State.EXITED) {
+        if (task.clearable) {
+          host.placed.remove(task.task);
+        }
+      } else if (task.state != Placed.State.STARTING || task.stop) {
+        // Gone, unless a start of unknown fate may still bring it back.
+        if (host.quiet()) {
+          gone(task, task.waitingSince());
+        }
+      }
+    }
+  }
+
+  /** A task on a machine that we have not placed there in this epoch, or not as this attempt. */
+  private Placed found(Host host, WorkerWire.ReportedTask reported, Placed expected) {
+    OwnedRange range = rangeOf(reported.task());
+    boolean exited = reported.state() == WorkerWire.TaskState.EXITED;
+    if (range == null) {
+      return null;
+    }
+    int offset = reported.task().index() - range.record.from();
+    if (range.isDone(offset) || (expected == null && range.placed.containsKey(offset))) {
+      if (!exited && range.placed.containsKey(offset)) {
+        LOG.error("task {} is on {} and on another machine", reported.task(), host.id);
+      }
+      return null;
+    }
+    if (exited && reported.cause() == WorkerWire.Cause.DONE) {
+      if (expected != null) {
+        host.placed.remove(reported.task());
+      }
+      Placed task = new Placed(reported.task(), reported.attempt(), host, range, node.now(), 0);
+      host.placed.put(task.task, task);
+      return task;
+    }
+    if (exited) {
+      return null;
+    }
+    if (expected != null) {
+      if (expected.state != Placed.State.STARTING) {
+        return null;
+      }
+      host.placed.remove(reported.task());
+    }
+    Placed task =
+        new Placed(
+            reported.task(),
+            reported.attempt(),
+            host,
+            range,
+            node.now(),
+            (node.now() - range.waitingSince) / 1000.0);
+    task.startSent = true;
+    host.placed.put(task.task, task);
+    range.place(offset, task);
+    if (range.ended) {
+      stop(task, 0);
+    }
+    return task;
+  }
+
+  private void follow(Placed task, WorkerWire.ReportedTask reported) {
+    long now = node.now();
+    task.startSent = true;
+    switch (reported.state()) {
+      case FETCHING -> task.state = Placed.State.FETCHING;
+      case RUNNING -> {
+        if (task.runningSince < 0) {
+          task.runningSince = now;
+        }
+        task.state = Placed.State.RUNNING;
+      }
+      case SAVING -> task.state = Placed.State.SAVING;
+      case EXITED -> {
+        if (task.live()) {
+          exited(task, reported.cause());
+        }
+      }
+    }
+    if (task.range != null && task.range.spec != null && task.live()) {
+      MachineType type = node.type(task.host.type);
+      JobSpec spec = task.range.spec;
+      if (type != null) {
+        task.host.usesImage(spec.image(), spec.imageGb(), type.cacheGb());
+      }
+    }
+  }
+
+  private void exited(Placed task, WorkerWire.Cause cause) {
+    OwnedRange range = task.range;
+    long now = node.now();
+    task.state = Placed.State.EXITED;
+    task.cause = cause;
+    LOG.debug("task {} exited: {}", task, cause);
+    if (range == null) {
+      task.clearable = true;
+      return;
+    }
+    int offset = task.task.index() - range.record.from();
+    if (cause == WorkerWire.Cause.DONE) {
+      range.finish(offset);
+      faults.succeeded(task, now);
+      if (range.ended || range.isDone(offset)) {
+        task.clearable = true;
+      } else {
+        writeSoon(range);
+      }
+      return;
+    }
+    task.clearable = true;
+    if (range.placed.get(offset) != task) {
+      return;
+    }
+    OwnedRange.Retry before = new OwnedRange.Retry();
+    before.failures = faults.failuresOf(range, offset);
+    OwnedRange.Retry retry = range.again(offset, task.waitingSince(), before.failures);
+    switch (cause) {
+      case ERROR -> {
+        // Waiting starts anew: a task that fails everywhere must not age into evicting others.
+        retry.waitingSince = now;
+        retry.failures++;
+        faults.failed(task, range, offset, retry, now);
+      }
+      case NO_ROOM, BUSY, UNKNOWN -> {
+        retry.notBefore = now + node.reportMs(0.5);
+        task.host.quarantineUntil = now + node.reportMs(0.5);
+      }
+      default -> {}
+    }
+    windUp(range);
+  }
+
+  /** The machine does not have this task any more, nor can it get it by anything we sent. */
+  private void gone(Placed task, long waitingSince) {
+    task.host.placed.remove(task.task);
+    OwnedRange range = task.range;
+    if (range == null) {
+      return;
+    }
+    int offset = task.task.index() - range.record.from();
+    if (range.placed.get(offset) == task) {
+      range.again(offset, waitingSince, faults.failuresOf(range, offset));
+      windUp(range);
+    }
+  }
+
+  /** Everything that was on the machine is gone with its session, or with the machine itself. */
+  void loseTasks(Host host, String why) {
+    host.ghosts.clear();
+    host.forgetImages();
+    int lost = 0;
+    for (Placed task : List.copyOf(host.placed.values())) {
+      if (task.session != host.session || hostIsGone(host)) {
+        if (task.live()) {
+          lost++;
+        }
+        gone(task, task.waitingSince());
+      }
+    }
+    if (lost > 0) {
+      node.stats().lost += lost;
+      LOG.info("{} tasks on {} are lost: {}", lost, host.id, why);
+    }
+    passSoon();
+  }
+
+  private boolean hostIsGone(Host host) {
+    return host.lost || host.returning || !node.view().machines().containsKey(host.id);
+  }
+
+  private void notice(Host host, double noticeS) {
+    if (noticeS < 0) {
+      return;
+    }
+    host.noticeUntil = node.now() + Math.round(noticeS * 1000);
+    if (!host.draining) {
+      host.draining = true;
+      host.drainReason = "spot notice";
+      LOG.info("machine {} will be taken in {} s", host.id, noticeS);
+    }
+    for (Placed task : List.copyOf(host.placed.values())) {
+      if (task.live() && !task.stop && task.range != null && task.range.spec != null) {
+        JobSpec spec = task.range.spec;
+        double remaining = task.remainingS(node.now(), spec.estimateS());
+        if (task.runningSince < 0 || remaining > 1.5 * noticeS) {
+          boolean saves = spec.savesWork() && spec.saveS() < noticeS;
+          stop(task, saves ? Math.max(spec.saveS(), noticeS * 0.8) : 0);
+        }
+      }
+    }
+  }
+
+  void stop(Placed task, double graceS) {
+    if (!task.live() || task.stop && task.graceS <= graceS) {
+      return;
+    }
+    task.stop = true;
+    task.stopSent = false;
+    task.graceS = graceS;
+    if (task.state == Placed.State.STARTING && !task.startSent) {
+      gone(task, task.waitingSince());
+    }
+  }
+
+  // ---- ranges
+
+  private OwnedRange rangeOf(TaskId task) {
+    for (var kept : node.view().rangesOf(task.job()).entrySet()) {
+      OwnedRange range = ranges.get(new Records.RangeKey(task.job(), kept.getKey()));
+      if (range != null && range.has(task.index())) {
+        return range;
+      }
+    }
+    return null;
+  }
+
+  private void syncRange(Records.RangeKey key, boolean inherited) {
+    View.Kept<Records.Range> kept = node.view().range(key);
+    OwnedRange range = ranges.get(key);
+    if (kept == null || !kept.record().master().equals(name)) {
+      if (range != null) {
+        ranges.remove(key);
+        for (Placed task : range.placed.values()) {
+          task.range = null;
+          stop(task, 0);
+        }
+        for (Host host : hosts.values()) {
+          for (Placed task : host.placed.values()) {
+            if (task.range == range) {
+              task.range = null;
+              task.clearable = !task.live();
+            }
+          }
+        }
+      }
+      return;
+    }
+    if (range == null) {
+      View.LiveJob job = node.view().job(key.job());
+      long age = job == null ? 0 : Math.max(0, reactor.wall() - job.job().record().acceptedWall());
+      range = new OwnedRange(key, kept.record(), kept.version(), inherited, node.now() - age);
+      ranges.put(key, range);
+      refreshJob(range);
+      fleet.arrived(range);
+      return;
+    }
+    range.record = kept.record();
+    range.version = kept.version();
+    range.finished.andNot(range.record.done());
+    range.fresh.andNot(range.record.done());
+    for (Host host : hosts.values()) {
+      for (Placed task : host.placed.values()) {
+        if (task.range == range
+            && !task.live()
+            && range.isDone(task.task.index() - range.record.from())) {
+          task.clearable = true;
+        }
+      }
+    }
+    refreshJob(range);
+  }
+
+  private void refreshJob(OwnedRange range) {
+    View.LiveJob job = node.view().job(range.key.job());
+    if (job != null) {
+      range.spec = job.job().record().spec();
+      range.zone = job.job().record().zone();
+      return;
+    }
+    // Only what has been followed past the range's own writing proves that its job is no more: the
+    // two come in one transaction, but not in one message.
+    if (node.view().version(Records.job(range.key.job())) == 0
+        && node.view().followed() >= range.version) {
+      if (!range.ended) {
+        range.ended = true;
+        LOG.info("job {} has ended, winding up range {}", range.key.job(), range.key);
+      }
+      for (Placed task : List.copyOf(range.placed.values())) {
+        stop(task, 0);
+      }
+      for (Host host : hosts.values()) {
+        for (Placed task : host.placed.values()) {
+          if (task.range == range && !task.live()) {
+            task.clearable = true;
+          }
+        }
+      }
+      sendDirect();
+      windUp(range);
+    }
+  }
+
+  /** Removes the range of an ended job once nothing of it can be anywhere. */
+  private void windUp(OwnedRange range) {
+    if (!range.ended || !range.placed.isEmpty() || range.writing || blocked(range)) {
+      return;
+    }
+    range.writing = true;
+    write(
+        List.of(new StateWire.Condition(Records.range(range.key), range.version)),
+        List.of(new StateWire.Delete(Records.range(range.key))),
+        committed -> {
+          range.writing = false;
+        });
+  }
+
+  /** A machine that may hold tasks of it has not been heard of in this epoch. */
+  private boolean blocked(OwnedRange range) {
+    return range.inherited && anyUnresolved();
+  }
+
+  boolean anyUnresolved() {
+    for (Host host : hosts.values()) {
+      if (!host.resolved && !host.lost) {
+        return true;
+      }
+    }
+    return false;
+  }
+
+  private void writeSoon(OwnedRange range) {
+    if (!range.writing) {
+      range.writing = true;
+      // A short wait lets tasks that end together share a write.
+      reactor.schedule(node.view().watchGapMs() / 3, () -> writeDone(range));
+    }
+  }
+
+  private void writeDone(OwnedRange range) {
+    if (over || range.finished.isEmpty() || ranges.get(range.key) != range) {
+      range.writing = false;
+      return;
+    }
+    BitSet done = (BitSet) range.record.done().clone();
+    done.or(range.finished);
+    Records.Range next = range.record.withDone(done);
+    List<StateWire.Condition> conditions = new ArrayList<>();
+    List<StateWire.Change> changes = new ArrayList<>();
+    conditions.add(new StateWire.Condition(Records.range(range.key), range.version));
+    if (!Finish.add(node, range.key, next, conditions, changes)) {
+      changes.add(new StateWire.Put(Records.range(range.key), Records.write(next), 0));
+    }
+    write(
+        conditions,
+        changes,
+        committed -> {
+          range.writing = false;
+          if (!range.finished.isEmpty() && ranges.get(range.key) == range) {
+            writeSoon(range);
+          }
+          sendDirect();
+        });
+  }
+
+  /**
+   * Writes under this epoch's guard. Where it fails or its fate is unknown, the callback comes once
+   * the state has been read on, or after a while: the caller looks again and decides anew.
+   */
+  void write(
+      List<StateWire.Condition> conditions,
+      List<StateWire.Change> changes,
+      Consumer<Boolean> done) {
+    List<StateWire.Condition> all = new ArrayList<>(conditions);
+    all.add(guard());
+    node.store()
+        .commit(
+            new Store.Txn(all, changes),
+            result -> {
+              if (result instanceof Store.Committed committed) {
+                node.view().committed(changes, committed.revision());
+                // The view tells us by message; what depends on it runs after that.
+                reactor.execute(() -> done.accept(true));
+              } else if (result instanceof Store.Conflict conflict) {
+                node.view()
+                    .await(
+                        conflict.revision(),
+                        node.reportMs(1),
+                        ok ->
+                            reactor.schedule(
+                                ok ? 0 : node.view().watchGapMs(), () -> done.accept(false)));
+              } else {
+                reactor.schedule(node.view().watchGapMs() * 3, () -> done.accept(false));
+              }
+            });
+  }
+
+  // ---- time
+
+  private void tick() {
+    if (!active) {
+      return;
+    }
+    long now = node.now();
+    long leaseMs =
+        Math.round(node.settings().workerLeaseMs() * (1 + Settings.DRIFT)) + node.reportMs(0.2);
+    for (Host host : List.copyOf(hosts.values())) {
+      if (!host.lost && host.up && now - host.leaseFrom > leaseMs) {
+        host.lost = true;
+        LOG.warn("machine {} has been silent for its whole lease", host.id);
+        loseTasks(host, "silent for its lease");
+      }
+    }
+    for (OwnedRange range : List.copyOf(ranges.values())) {
+      refreshJob(range);
+    }
+    if (node.acting()) {
+      shares.tick();
+      fleet.tick(now);
+      pass();
+      sendDirect();
+    }
+  }
+
+  // ---- placement
+
+  private void passSoon() {
+    if (!passDue) {
+      passDue = true;
+      reactor.schedule(
+          node.view().watchGapMs() / 5,
+          () -> {
+            passDue = false;
+            if (running()) {
+              pass();
+              sendDirect();
+            }
+          });
+    }
+  }
+
+  /** Some tasks of a range that have waited equally long. */
+  record Group(OwnedRange range, int offset) {
+    boolean isFresh() {
+      return offset < 0;
+    }
+  }
+
+  private List<Falcon.Waiting<Group>> waitingGroups(long now) {
+    List<Falcon.Waiting<Group>> groups = new ArrayList<>();
+    for (OwnedRange range : ranges.values()) {
+      if (range.spec == null || range.ended || blocked(range)) {
+        continue;
+      }
+      JobSpec spec = range.spec;
+      int fresh = range.fresh.cardinality();
+      if (fresh > 0) {
+        groups.add(
+            new Falcon.Waiting<>(
+                new Group(range, -1),
+                spec.priority(),
+                falcon.score(spec.estimateS(), (now - range.waitingSince) / 1000.0),
+                fresh));
+      }
+      for (var retry : range.retries.int2ObjectEntrySet()) {
+        if (retry.getValue().notBefore <= now) {
+          groups.add(
+              new Falcon.Waiting<>(
+                  new Group(range, retry.getIntKey()),
+                  spec.priority(),
+                  falcon.score(spec.estimateS(), (now - retry.getValue().waitingSince) / 1000.0),
+                  1));
+        }
+      }
+    }
+    return groups;
+  }
+
+  private void pass() {
+    if (!running() || node.types().isEmpty()) {
+      return;
+    }
+    long now = node.now();
+    List<Falcon.Waiting<Group>> groups = waitingGroups(now);
+    List<Falcon.Waiting<Group>> stuck = new ArrayList<>();
+    while (!groups.isEmpty()) {
+      Falcon.Waiting<Group> next = falcon.next(groups);
+      groups.remove(next);
+      OwnedRange range = next.what().range();
+      Host host = choose(range, next.what(), now);
+      if (host == null) {
+        stuck.add(next);
+        continue;
+      }
+      int offset = next.what().isFresh() ? range.fresh.nextSetBit(0) : next.what().offset();
+      place(range, offset, host, now);
+      if (next.count() > 1) {
+        groups.add(
+            new Falcon.Waiting<>(next.what(), next.priority(), next.score(), next.count() - 1));
+      }
+    }
+    evict(stuck, now);
+    Stats.record(node.stats().passMs, node.now() - now);
+  }
+
+  boolean usable(Host host, long now) {
+    return host.resolved
+        && mayStart(host)
+        && !host.draining
+        && now >= host.quarantineUntil
+        && now - host.heardAt <= node.reportMs(2.5);
+  }
+
+  private boolean allowed(OwnedRange range, int offset, Host host) {
+    JobSpec spec = range.spec;
+    return (spec.types().isEmpty() || spec.types().contains(host.type))
+        && (spec.spot() || !host.spot)
+        && range.zoneAllows(host.zone)
+        && !host.placed.containsKey(new TaskId(range.key.job(), range.record.from() + offset))
+        && !faults.avoids(range, host);
+  }
+
+  /** The fitting machine with the least room left, of those that have the image if any has it. */
+  private Host choose(OwnedRange range, Group group, long now) {
+    JobSpec spec = range.spec;
+    if (!shares.allows(spec)) {
+      return null;
+    }
+    int offset = group.isFresh() ? range.fresh.nextSetBit(0) : group.offset();
+    Host best = null;
+    boolean bestHas = false;
+    double bestRoom = 0;
+    for (Host host : hosts.values()) {
+      MachineType type = node.type(host.type);
+      if (type == null
+          || !usable(host, now)
+          || !allowed(range, offset, host)
+          || !host.hasRoom(type, spec)) {
+        continue;
+      }
+      boolean has = host.hasImage(spec.image());
+      double room = host.roomAfter(type, spec);
+      if (best == null || (has && !bestHas) || (has == bestHas && room < bestRoom)) {
+        best = host;
+        bestHas = has;
+        bestRoom = room;
+      }
+    }
+    return best;
+  }
+
+  private void place(OwnedRange range, int offset, Host host, long now) {
+    OwnedRange.Retry retry = range.retries.get(offset);
+    long since = retry == null ? range.waitingSince : retry.waitingSince;
+    TaskId id = new TaskId(range.key.job(), range.record.from() + offset);
+    long attempt = firstToken() + ++attempts;
+    Placed task = new Placed(id, attempt, host, range, now, (now - since) / 1000.0);
+    host.placed.put(id, task);
+    range.place(offset, task);
+    host.idleSince = now;
+    MachineType type = node.type(host.type);
+    host.usesImage(range.spec.image(), range.spec.imageGb(), type.cacheGb());
+    node.stats().placed++;
+    Stats.record(node.stats().startWaitMs, now - since);
+    LOG.debug("task {} placed after {} ms", task, now - since);
+  }
+
+  /** Selective Preemption for tasks that found no room, one machine at a time. */
+  private void evict(List<Falcon.Waiting<Group>> stuck, long now) {
+    if (stuck.isEmpty() || now - lastEviction < node.reportMs(0.5)) {
+      return;
+    }
+    Tuning tuning = node.tuning();
+    for (Host host : hosts.values()) {
+      MachineType type = node.type(host.type);
+      if (type == null || !usable(host, now) || stopping(host)) {
+        continue;
+      }
+      List<Falcon.Waiting<Group>> queue = new ArrayList<>();
+      for (Falcon.Waiting<Group> one : stuck) {
+        OwnedRange range = one.what().range();
+        int offset = one.what().isFresh() ? range.fresh.nextSetBit(0) : one.what().offset();
+        if (offset >= 0
+            && type.fits(range.spec)
+            && allowed(range, offset, host)
+            && shares.allows(range.spec)) {
+          queue.add(one);
+        }
+      }
+      List<Falcon.Waiting<Group>> ready = new ArrayList<>();
+      for (Falcon.Waiting<Group> one : queue) {
+        if (waited(one.what(), now) >= tuning.evictWaitS() && falcon.outscoresEnough(one, queue)) {
+          ready.add(one);
+        }
+      }
+      if (ready.isEmpty()) {
+        continue;
+      }
+      Falcon.Waiting<Group> drawn = falcon.next(ready);
+      if (evictFor(drawn, host, type, now)) {
+        lastEviction = now;
+        return;
+      }
+    }
+  }
+
+  private static boolean stopping(Host host) {
+    for (Placed task : host.placed.values()) {
+      if (task.live() && task.stop) {
+        return true;
+      }
+    }
+    return false;
+  }
+
+  private double waited(Group group, long now) {
+    long since =
+        group.isFresh()
+            ? group.range().waitingSince
+            : group.range().retries.get(group.offset()).waitingSince;
+    return (now - since) / 1000.0;
+  }
+
+  private boolean evictFor(Falcon.Waiting<Group> drawn, Host host, MachineType type, long now) {
+    JobSpec spec = drawn.what().range().spec;
+    List<Falcon.Running<Placed>> running = new ArrayList<>();
+    for (Placed task : host.placed.values()) {
+      if (task.live() && task.range != null && task.range.spec != null) {
+        JobSpec other = task.range.spec;
+        running.add(
+            new Falcon.Running<>(
+                task,
+                other.priority(),
+                falcon.score(task.remainingS(now, other.estimateS()), task.waitedS),
+                task.elapsedS(now),
+                other.estimateS(),
+                shares.owed(spec.team(), other.team())));
+      }
+    }
+    double cpus = type.cpus() - host.usedCpus();
+    double gpus = type.gpus() - host.usedGpus();
+    double memory = type.memoryGb() - host.usedMemory();
+    List<Placed> chosen = new ArrayList<>();
+    for (Falcon.Running<Placed> victim : falcon.victims(drawn, running)) {
+      if (cpus >= spec.cpus() && gpus >= spec.gpus() && memory >= spec.memoryGb()) {
+        break;
+      }
+      JobSpec other = victim.what().range.spec;
+      cpus += other.cpus();
+      gpus += other.gpus();
+      memory += other.memoryGb();
+      chosen.add(victim.what());
+    }
+    if (chosen.isEmpty() || cpus < spec.cpus() || gpus < spec.gpus() || memory < spec.memoryGb()) {
+      return false;
+    }
+    for (Placed victim : chosen) {
+      LOG.info("task {} gives way to {} ({})", victim, spec.id(), spec.priority());
+      node.stats().evicted++;
+      stop(victim, victim.range.spec.savesWork() ? victim.range.spec.saveS() : 0);
+    }
+    return true;
+  }
+
+  // ---- direct commands
+
+  void sendDirect() {
+    if (!running()) {
+      return;
+    }
+    for (Host host : hosts.values()) {
+      if (host.resolved
+          && host.quiet()
+          && !host.returning
+          && !host.lost
+          && host.session >= 0
+          && host.seenToken >= firstToken()
+          && host.hasNews()) {
+        direct(host);
+      }
+    }
+  }
+
+  private void direct(Host host) {
+    // The clears are left for the next report's answer, which is never executed late.
+    List<WorkerWire.Command> orders = new ArrayList<>(host.orders(mayStart(host), MOST_ORDERS));
+    orders.removeIf(order -> order instanceof WorkerWire.Clear);
+    if (orders.isEmpty()) {
+      return;
+    }
+    host.directBusy = true;
+    long sentSession = host.session;
+    node.caller()
+        .call(
+            host.address,
+            "POST",
+            WorkerWire.COMMANDS,
+            WorkerWire.commands(host.token, sentSession, orders),
+            node.reportMs(0.8),
+            outcome -> answered(host, outcome));
+  }
+
+  private void answered(Host host, Http.Outcome outcome) {
+    host.directBusy = false;
+    if (outcome instanceof Http.NotSent) {
+      return;
+    }
+    if (outcome instanceof Http.Answer answer
+        && (answer.status() == 200 || answer.status() == 409)) {
+      try {
+        WorkerWire.Report report = WorkerWire.readReport(answer.body());
+        if (!over && hosts.get(host.id) == host && report.machine().equals(host.id)) {
+          learn(host, report);
+        }
+        return;
+      } catch (Json.Malformed e) {
+        LOG.warn("machine {} answered a command out of form: {}", host.id, e.getMessage());
+      }
+    }
+    // Its fate is unknown: it may be executed minutes later, as long as token and session match.
+    // A higher token ends that as soon as the machine has seen it.
+    host.token++;
+    host.fence = host.token;
+  }
+
+  // ---- what others ask
+
+  /** Free room by zone and CPUs that wait, for whoever splits jobs. */
+  PeerWire.Load load() {
+    long now = node.now();
+    Map<String, double[]> rooms = new TreeMap<>();
+    for (Host host : hosts.values()) {
+      MachineType type = node.type(host.type);
+      if (type == null || !usable(host, now)) {
+        continue;
+      }
+      double[] room = rooms.computeIfAbsent(host.zone, z -> new double[3]);
+      room[0] += Math.max(0, type.cpus() - host.usedCpus());
+      room[1] += Math.max(0, type.gpus() - host.usedGpus());
+      room[2] += Math.max(0, type.memoryGb() - host.usedMemory());
+    }
+    List<PeerWire.Room> all = new ArrayList<>();
+    rooms.forEach((zone, r) -> all.add(new PeerWire.Room(zone, r[0], r[1], r[2])));
+    double waiting = 0;
+    for (OwnedRange range : ranges.values()) {
+      if (!range.ended) {
+        waiting += range.waiting() * range.record.cpus();
+      }
+    }
+    return new PeerWire.Load(node.membership().self(), name, epoch, waiting, all);
+  }
+
+  boolean isActive() {
+    return active;
+  }
+
+  /** Tasks of a job that run on our machines. */
+  int runningOf(String job) {
+    int count = 0;
+    for (OwnedRange range : ranges.values()) {
+      if (range.key.job().equals(job)) {
+        for (Placed task : range.placed.values()) {
+          if (task.state == Placed.State.RUNNING || task.state == Placed.State.SAVING) {
+            count++;
+          }
+        }
+      }
+    }
+    return count;
+  }
+
+  Collection<Host> allHosts() {
+    return hosts.values();
+  }
+
+  /** Used amounts by team, CPUs and GPUs, everything counted that may be on a machine. */
+  Map<String, double[]> usage() {
+    Map<String, double[]> usage = new HashMap<>();
+    for (Host host : hosts.values()) {
+      for (Placed task : host.placed.values()) {
+        if (task.live() && task.range != null) {
+          double[] sum = usage.computeIfAbsent(task.range.record.team(), t -> new double[2]);
+          sum[0] += task.range.record.cpus();
+          sum[1] += task.range.record.gpus();
+        }
+      }
+    }
+    return usage;
+  }
+}
--- /dev/null
+++ b/src/main/java/org/fieldtrestle/coordination/Membership.java
@@ -0,0 +1,272 @@
+package org.fieldtrestle.coordination;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeSet;
+import org.fieldtrestle.bookkeeping.Records;
+import org.fieldtrestle.bookkeeping.Store;
+import org.fieldtrestle.bookkeeping.View;
+import org.fieldtrestle.protocol.Settings;
+import org.fieldtrestle.protocol.StateWire;
+import org.fieldtrestle.transport.Reactor;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/**
+ * This controller's lease, and which masters it acts as. A master's epoch is the version of its key
+ * at the state service: every change of hands raises it, and every write of a master depends on it.
+ */
+public final class Membership {
+  private static final Logger LOG = LoggerFactory.getLogger(Membership.class);
+
+  /** Told when this controller begins or ends to act as a master. */
+  public interface Listener {
+    /**
+     * @param othersMayAct whoever acted as this master before may not know yet that it ended
+     */
+    void began(String master, long epoch, boolean othersMayAct);
+
+    void ended(String master);
+  }
+
+  private final Reactor reactor;
+  private final Store store;
+  private final View view;
+  private final String self;
+  private final String boot;
+  private final long ttlMs;
+  private final Map<String, Long> held = new HashMap<>();
+  private final Map<String, Long> vacantSince = new HashMap<>();
+  private Listener listener;
+  private long lease;
+  private long leaseAt = Long.MIN_VALUE;
+  private boolean registered;
+  private boolean busy;
+
+  public Membership(Reactor reactor, Store store, View view, Settings settings, String boot) {
+    this.reactor = reactor;
+    this.store = store;
+    this.view = view;
+    this.self = settings.label();
+    this.boot = boot;
+    this.ttlMs = settings.stateLeaseMs();
+  }
+
+  public void start(Listener to) {
+    this.listener = to;
+    view.listen(this::changed);
+    register();
+    beat();
+  }
+
+  /**
+   * Whether the lease holds, counted from the sending of its last good renewal, and the followed
+   * state is as fresh: a watch that no longer hears of cancellations must not keep tasks alive.
+   */
+  public boolean acting() {
+    long until = reactor.now() - usableMs();
+    return registered && leaseAt > until && view.freshAt() > until;
+  }
+
+  /** The lease less what the clocks may drift apart and a turn of the loop may take. */
+  public long usableMs() {
+    return Math.round(ttlMs * (1 - Settings.DRIFT)) - 50;
+  }
+
+  public Long epoch(String master) {
+    return held.get(master);
+  }
+
+  public String self() {
+    return self;
+  }
+
+  /** The member that does what needs doing only once: the lowest label of those present. */
+  public boolean first() {
+    for (String label : view.members().keySet()) {
+      if (label.compareTo(self) < 0) {
+        return false;
+      }
+    }
+    return registered;
+  }
+
+  private void beat() {
+    reactor.schedule(
+        ttlMs / 12,
+        () -> {
+          renew();
+          takeOver();
+          beat();
+        });
+  }
+
+  private void renew() {
+    if (!registered) {
+      register();
+      return;
+    }
+    long sent = reactor.now();
+    long renewed = lease;
+    store.renew(
+        renewed,
+        renewal -> {
+          if (renewed != lease || !registered) {
+            return;
+          }
+          if (renewal == Store.Renewal.KEPT) {
+            leaseAt = Math.max(leaseAt, sent);
+          } else if (renewal == Store.Renewal.ENDED) {
+            LOG.warn("lease {} has ended, registering again", lease);
+            registered = false;
+            register();
+          }
+        });
+  }
+
+  /** Takes a lease, shows ourselves under it, and takes or keeps our own master. */
+  private void register() {
+    if (busy) {
+      return;
+    }
+    busy = true;
+    long sent = reactor.now();
+    store.grant(
+        ttlMs,
+        granted -> {
+          if (granted == 0) {
+            retry(-1);
+            return;
+          }
+          present(granted, sent);
+        });
+  }
+
+  private void present(long granted, long sent) {
+    List<StateWire.Condition> conditions = new ArrayList<>();
+    List<StateWire.Change> changes = new ArrayList<>();
+    String member = Records.member(self);
+    conditions.add(new StateWire.Condition(member, view.version(member)));
+    changes.add(new StateWire.Put(member, Records.write(new Records.Member(boot)), granted));
+    // Whoever took one of our masters over while we had no lease waits for workers' leases that
+    // it counts from then on: acting again under the old epoch would renew them. So all or none.
+    held.forEach((m, epoch) -> conditions.add(new StateWire.Condition(Records.master(m), epoch)));
+    boolean take = !held.containsKey(self);
+    String own = Records.master(self);
+    boolean othersMayAct = take && othersMayAct(self);
+    if (take) {
+      conditions.add(new StateWire.Condition(own, view.version(own)));
+      changes.add(new StateWire.Put(own, Records.write(new Records.Master(self)), 0));
+    }
+    store.commit(
+        new Store.Txn(conditions, changes),
+        result -> {
+          if (result instanceof Store.Committed committed) {
+            busy = false;
+            registered = true;
+            lease = granted;
+            leaseAt = sent;
+            LOG.info("registered as {} under lease {}", self, granted);
+            if (take) {
+              begin(self, committed.revision(), othersMayAct);
+            }
+            view.committed(changes, committed.revision());
+          } else if (result instanceof Store.Conflict conflict) {
+            retry(conflict.revision());
+          } else {
+            retry(-1);
+          }
+        });
+  }
+
+  private void retry(long revision) {
+    Runnable again =
+        () -> {
+          busy = false;
+          register();
+        };
+    if (revision < 0) {
+      reactor.schedule(ttlMs / 50, again);
+    } else {
+      view.await(revision, ttlMs / 12, seen -> reactor.schedule(seen ? 0 : ttlMs / 50, again));
+    }
+  }
+
+  private boolean othersMayAct(String master) {
+    View.Kept<Records.Master> kept = view.master(master);
+    return kept != null
+        && !kept.record().holder().equals(self)
+        && view.members().containsKey(kept.record().holder());
+  }
+
+  private void begin(String master, long epoch, boolean othersMayAct) {
+    held.put(master, epoch);
+    LOG.info("acting as master {} in epoch {}", master, epoch);
+    listener.began(master, epoch, othersMayAct);
+  }
+
+  private void changed(Records.Key key) {
+    if (key instanceof Records.MasterKey k) {
+      Long epoch = held.get(k.master());
+      if (epoch != null && view.version(Records.master(k.master())) != epoch) {
+        LOG.warn("no longer acting as master {}: another has taken it", k.master());
+        held.remove(k.master());
+        listener.ended(k.master());
+      }
+    }
+  }
+
+  /** Takes masters whose holder has let its lease end, and our own back from whoever has it. */
+  private void takeOver() {
+    if (!acting()) {
+      vacantSince.clear();
+      return;
+    }
+    int order = new TreeSet<>(view.members().keySet()).headSet(self).size();
+    for (Map.Entry<String, View.Kept<Records.Master>> one :
+        List.copyOf(view.masters().entrySet())) {
+      String master = one.getKey();
+      String holder = one.getValue().record().holder();
+      boolean own = master.equals(self) && !holder.equals(self);
+      if (held.containsKey(master) || (view.members().containsKey(holder) && !own)) {
+        vacantSince.remove(master);
+        continue;
+      }
+      if (holder.equals(self) && !own) {
+        // Ours by an earlier life or an unanswered request; the own master is taken on registering.
+        take(master, holder, one.getValue().version());
+        continue;
+      }
+      long since = vacantSince.computeIfAbsent(master, m -> reactor.now());
+      if (own || reactor.now() - since >= order * ttlMs / 6) {
+        take(master, holder, one.getValue().version());
+      }
+    }
+  }
+
+  private void take(String master, String holder, long version) {
+    boolean othersMayAct = othersMayAct(master);
+    List<StateWire.Condition> conditions = new ArrayList<>();
+    conditions.add(new StateWire.Condition(Records.master(master), version));
+    conditions.add(
+        new StateWire.Condition(Records.member(self), view.version(Records.member(self))));
+    if (!othersMayAct && !holder.equals(self)) {
+      conditions.add(new StateWire.Condition(Records.member(holder), 0));
+    }
+    List<StateWire.Change> changes =
+        List.of(
+            new StateWire.Put(Records.master(master), Records.write(new Records.Master(self)), 0));
+    LOG.warn("taking master {} from {}", master, holder);
+    store.commit(
+        new Store.Txn(conditions, changes),
+        result -> {
+          if (result instanceof Store.Committed committed
+              && view.version(Records.master(master)) <= committed.revision()) {
+            begin(master, committed.revision(), othersMayAct);
+            view.committed(changes, committed.revision());
+          }
+        });
+  }
+}
--- /dev/null
+++ b/src/main/java/org/fieldtrestle/coordination/OwnedRange.java
@@ -0,0 +1,122 @@
+package org.fieldtrestle.coordination;
+
+import it.unimi.dsi.fastutil.ints.Int2ObjectMap;
+import it.unimi.dsi.fastutil.ints.Int2ObjectOpenHashMap;
+import java.util.BitSet;
+import org.fieldtrestle.bookkeeping.Records;
+import org.fieldtrestle.protocol.JobSpec;
+
+/** A range in this master's hands: which of its tasks wait, are on machines, or have finished. */
+final class OwnedRange {
+  /** A task that waits again after having been on a machine. */
+  static final class Retry {
+    long waitingSince;
+    long notBefore;
+    int failures;
+  }
+
+  final Records.RangeKey key;
+  Records.Range record;
+  long version;
+
+  /** Null where the job has ended (or its record is not to be read). */
+  JobSpec spec;
+
+  /** The only zone, where the job or its record names one. */
+  String zone;
+
+  /** True once the job is known to have ended while this range still has to be wound up. */
+  boolean ended;
+
+  /** Was there before this epoch began, so that its tasks may be on machines not heard of yet. */
+  final boolean inherited;
+
+  final long waitingSince;
+
+  /**
+   * Tasks that finished but whose done is not durable yet. Numbers count from the range's first.
+   */
+  final BitSet finished = new BitSet();
+
+  final Int2ObjectMap<Placed> placed = new Int2ObjectOpenHashMap<>();
+  final Int2ObjectMap<Retry> retries = new Int2ObjectOpenHashMap<>();
+
+  /** Tasks that wait and have not been on a machine in this epoch. */
+  final BitSet fresh = new BitSet();
+
+  boolean writing;
+
+  OwnedRange(
+      Records.RangeKey key, Records.Range record, long version, boolean inherited, long since) {
+    this.key = key;
+    this.record = record;
+    this.version = version;
+    this.inherited = inherited;
+    this.waitingSince = since;
+    fresh.set(0, record.size());
+    fresh.andNot(record.done());
+  }
+
+  boolean has(int taskIndex) {
+    return taskIndex >= record.from() && taskIndex < record.to();
+  }
+
+  boolean isDone(int offset) {
+    return record.done().get(offset);
+  }
+
+  void place(int offset, Placed task) {
+    fresh.clear(offset);
+    retries.remove(offset);
+    placed.put(offset, task);
+  }
+
+  /** The task is nowhere now and waits again. */
+  Retry again(int offset, long waitingSince, int failures) {
+    placed.remove(offset);
+    Retry retry = new Retry();
+    retry.waitingSince = waitingSince;
+    retry.failures = failures;
+    if (!isDone(offset) && !finished.get(offset)) {
+      retries.put(offset, retry);
+    }
+    return retry;
+  }
+
+  void finish(int offset) {
+    placed.remove(offset);
+    fresh.clear(offset);
+    retries.remove(offset);
+    if (!isDone(offset)) {
+      finished.set(offset);
+    }
+  }
+
+  int waiting() {
+    return fresh.cardinality() + retries.size();
+  }
+
+  /** How many of its tasks are on machines of a zone. */
+  int inZone(String name) {
+    int count = 0;
+    for (Placed task : placed.values()) {
+      if (task.host.zone.equals(name)) {
+        count++;
+      }
+    }
+    return count;
+  }
+
+  boolean zoneAllows(String name) {
+    if (zone != null && !zone.equals(name)) {
+      return false;
+    }
+    if (spec != null && spec.zone() != null && !spec.zone().equals(name)) {
+      return false;
+    }
+    if (record.caps().isEmpty()) {
+      return spec == null || !spec.spread();
+    }
+    return inZone(name) < record.caps().getOrDefault(name, 0);
+  }
+}
--- /dev/null
+++ b/src/main/java/org/fieldtrestle/coordination/Placed.java
@@ -0,0 +1,77 @@
+package org.fieldtrestle.coordination;
+
+import org.fieldtrestle.protocol.TaskId;
+import org.fieldtrestle.protocol.WorkerWire.Cause;
+
+/** A task that is, or may be, on a machine. */
+final class Placed {
+  /** Where it stands, as far as the machine has told. */
+  enum State {
+    /** Its start is on the way, or will be. */
+    STARTING,
+    FETCHING,
+    RUNNING,
+    SAVING,
+    /** Ended; stays until the machine has been told to clear it and no longer reports it. */
+    EXITED
+  }
+
+  final TaskId task;
+  final long attempt;
+  final Host host;
+
+  /** Null once the range is no longer ours to keep. */
+  OwnedRange range;
+
+  /** The session of the machine in which it was placed or found. */
+  long session;
+
+  State state = State.STARTING;
+  Cause cause = Cause.NONE;
+
+  /** Its start has gone out at least once, so that it may be there. */
+  boolean startSent;
+
+  boolean stop;
+  boolean stopSent;
+  double graceS;
+
+  /** Exited, and whatever its end means is durable, so that the machine may forget it. */
+  boolean clearable;
+
+  final long placedAt;
+  long runningSince = -1;
+  final double waitedS;
+
+  Placed(TaskId task, long attempt, Host host, OwnedRange range, long now, double waitedS) {
+    this.task = task;
+    this.attempt = attempt;
+    this.host = host;
+    this.range = range;
+    this.session = host.session;
+    this.placedAt = now;
+    this.waitedS = waitedS;
+  }
+
+  /** Since when it had waited before it was placed; a task that is lost waits on from there. */
+  long waitingSince() {
+    return placedAt - Math.round(waitedS * 1000);
+  }
+
+  boolean live() {
+    return state != State.EXITED;
+  }
+
+  double elapsedS(long now) {
+    return runningSince < 0 ? 0 : (now - runningSince) / 1000.0;
+  }
+
+  double remainingS(long now, double estimateS) {
+    return Math.max(0, estimateS - elapsedS(now));
+  }
+
+  @Override
+  public String toString() {
+    return task + "." + attempt + "@" + host.id;
+  }
+}
--- /dev/null
+++ b/src/main/java/org/fieldtrestle/coordination/Shares.java
@@ -0,0 +1,177 @@
+package org.fieldtrestle.coordination;
+
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import org.fieldtrestle.bookkeeping.Records;
+import org.fieldtrestle.bookkeeping.Store;
+import org.fieldtrestle.bookkeeping.View;
+import org.fieldtrestle.protocol.CloudWire.MachineType;
+import org.fieldtrestle.protocol.JobSpec;
+import org.fieldtrestle.protocol.Settings;
+import org.fieldtrestle.protocol.StateWire;
+
+/**
+ * This master's shares of the teams' limits. A share grows by compare-and-set out of what no other
+ * master has, and shrinks no further than what our tasks may be using.
+ */
+final class Shares {
+  private static final double SLACK = 1e-6;
+
+  /** A smaller share that we asked for and that may be written at any time. */
+  private record Shrinking(long version, double cpus, double gpus) {}
+
+  private final Master master;
+  private final Node node;
+  private final Map<String, Shrinking> shrinking = new HashMap<>();
+  private final Map<String, Boolean> writing = new HashMap<>();
+  private final Map<String, Long> idleSince = new HashMap<>();
+
+  Shares(Master master) {
+    this.master = master;
+    this.node = master.node;
+  }
+
+  private static boolean limited(Settings.Team team) {
+    return team.cpusMax() > 0 || team.gpusMax() > 0;
+  }
+
+  /** May one more task of this job be started? */
+  boolean allows(JobSpec spec) {
+    Settings.Team team = node.settings().team(spec.team());
+    if (team == null) {
+      return false;
+    }
+    if (!limited(team)) {
+      return true;
+    }
+    double[] share = share(team.name());
+    double[] used = used(team.name());
+    return (team.cpusMax() <= 0 || used[0] + spec.cpus() <= share[0] + SLACK)
+        && (team.gpusMax() <= 0 || used[1] + spec.gpus() <= share[1] + SLACK);
+  }
+
+  private double[] share(String team) {
+    View.Kept<Records.Quota> kept = node.view().quota(team);
+    double[] share =
+        kept == null
+            ? new double[2]
+            : kept.record().shares().getOrDefault(master.name, new double[2]);
+    Shrinking less = shrinking.get(team);
+    if (less != null && kept != null && less.version() == kept.version()) {
+      return new double[] {Math.min(share[0], less.cpus()), Math.min(share[1], less.gpus())};
+    }
+    return share;
+  }
+
+  /** What the team may be using here: all of any machine that we have not heard of yet. */
+  private double[] used(String team) {
+    double[] used = master.usage().getOrDefault(team, new double[2]).clone();
+    for (Host host : master.hosts.values()) {
+      if (!host.resolved && !host.lost) {
+        MachineType type = node.type(host.type);
+        used[0] += type == null ? Double.MAX_VALUE / 4 : type.cpus();
+        used[1] += type == null ? Double.MAX_VALUE / 4 : type.gpus();
+      }
+    }
+    return used;
+  }
+
+  void tick() {
+    for (Settings.Team team : node.settings().teams()) {
+      if (limited(team) && !writing.getOrDefault(team.name(), false)) {
+        adjust(team);
+      }
+    }
+  }
+
+  private void adjust(Settings.Team team) {
+    if (!node.view().readable(Records.quota(team.name()))) {
+      return;
+    }
+    View.Kept<Records.Quota> kept = node.view().quota(team.name());
+    Map<String, double[]> shares =
+        kept == null ? new TreeMap<>() : new TreeMap<>(kept.record().shares());
+    double[] mine = shares.getOrDefault(master.name, new double[2]);
+    double[] used = used(team.name());
+    double[] need = used.clone();
+    for (OwnedRange range : master.ranges.values()) {
+      if (!range.ended && range.record.team().equals(team.name())) {
+        need[0] += range.waiting() * range.record.cpus();
+        need[1] += range.waiting() * range.record.gpus();
+      }
+    }
+    double masters = node.settings().peers().size() + 1;
+    double[] limit = {team.cpusMax(), team.gpusMax()};
+    double[] want = new double[2];
+    boolean grows = false;
+    boolean shrinks = false;
+    for (int i = 0; i < 2; i++) {
+      double others = 0;
+      for (Map.Entry<String, double[]> share : shares.entrySet()) {
+        if (!share.getKey().equals(master.name)) {
+          others += share.getValue()[i];
+        }
+      }
+      // Half of an even part is kept even when idle, so that new work need not wait for a write.
+      double floor = limit[i] / masters / 2;
+      double wish = Math.min(Math.max(need[i], floor), Math.max(0, limit[i] - others));
+      want[i] = Math.max(wish, Math.min(mine[i], used[i]));
+      grows |= want[i] > mine[i] + SLACK;
+      shrinks |= want[i] < mine[i] - SLACK;
+    }
+    long now = node.now();
+    if (!grows && !shrinks) {
+      idleSince.remove(team.name());
+      return;
+    }
+    if (!grows) {
+      long since = idleSince.computeIfAbsent(team.name(), t -> now);
+      if (now - since < node.reportMs(2)) {
+        return;
+      }
+    }
+    idleSince.remove(team.name());
+    shares.put(master.name, want);
+    long version = kept == null ? 0 : kept.version();
+    if (kept != null && shrinks) {
+      shrinking.put(team.name(), new Shrinking(version, want[0], want[1]));
+    }
+    String key = Records.quota(team.name());
+    List<StateWire.Condition> conditions =
+        List.of(new StateWire.Condition(key, version), master.guard());
+    List<StateWire.Change> changes =
+        List.of(new StateWire.Put(key, Records.write(new Records.Quota(shares)), 0));
+    writing.put(team.name(), true);
+    node.store()
+        .commit(
+            new Store.Txn(conditions, changes),
+            result -> {
+              if (result instanceof Store.Committed committed) {
+                node.view().committed(changes, committed.revision());
+              }
+              node.reactor()
+                  .schedule(
+                      result instanceof Store.Committed ? 0 : node.view().watchGapMs() * 2,
+                      () -> writing.put(team.name(), false));
+            });
+  }
+
+  /** Whether a team is owed room that another takes beyond its own guarantee. */
+  boolean owed(String team, String from) {
+    if (team.equals(from)) {
+      return false;
+    }
+    Settings.Team mine = node.settings().team(team);
+    Settings.Team theirs = node.settings().team(from);
+    if (mine == null || theirs == null) {
+      return false;
+    }
+    double part = node.settings().peers().size() + 1;
+    double[] ours = master.usage().getOrDefault(team, new double[2]);
+    double[] others = master.usage().getOrDefault(from, new double[2]);
+    return (mine.cpus() > 0 && ours[0] < mine.cpus() / part && others[0] > theirs.cpus() / part)
+        || (mine.gpus() > 0 && ours[1] < mine.gpus() / part && others[1] > theirs.gpus() / part);
+  }
+}
--- /dev/null
+++ b/src/main/java/org/fieldtrestle/coordination/Stats.java
@@ -0,0 +1,23 @@
+package org.fieldtrestle.coordination;
+
+import org.HdrHistogram.Histogram;
+
+/** Counters and latencies of one controller, for those on call. */
+public final class Stats {
+  private static final long MAX_MS = 600_000;
+
+  public final Histogram submitMs = new Histogram(MAX_MS, 2);
+  public final Histogram pollMs = new Histogram(MAX_MS, 2);
+  public final Histogram startWaitMs = new Histogram(MAX_MS, 2);
+  public final Histogram passMs = new Histogram(MAX_MS, 2);
+  public long placed;
+  public long evicted;
+  public long lost;
+  public long rented;
+  public long returned;
+  public long refusedSubmissions;
+
+  public static void record(Histogram histogram, long ms) {
+    histogram.recordValue(Math.max(0, Math.min(MAX_MS, ms)));
+  }
+}
--- /dev/null
+++ b/src/main/java/org/fieldtrestle/coordination/StatsPage.java
@@ -0,0 +1,58 @@
+package org.fieldtrestle.coordination;
+
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.util.Collection;
+import org.HdrHistogram.Histogram;
+import org.fieldtrestle.protocol.Json;
+
+/** The read-only page for those on call: what this controller does, and how long it takes. */
+final class StatsPage {
+  private StatsPage() {}
+
+  static byte[] render(Node node, Collection<Master> masters) {
+    Stats stats = node.stats();
+    ObjectNode page = Json.object();
+    page.put("controller", node.settings().label());
+    page.put("acting", node.acting());
+    page.put("revision", node.view().followed());
+    page.put("liveJobs", node.view().jobs().size());
+    ObjectNode held = page.putObject("masters");
+    for (Master master : masters) {
+      ObjectNode one = held.putObject(master.name);
+      one.put("epoch", master.epoch);
+      one.put("machines", master.hosts.size());
+      one.put("ranges", master.ranges.size());
+      int waiting = 0;
+      int placed = 0;
+      for (OwnedRange range : master.ranges.values()) {
+        waiting += range.waiting();
+        placed += range.placed.size();
+      }
+      one.put("tasksWaiting", waiting);
+      one.put("tasksOnMachines", placed);
+    }
+    ObjectNode counts = page.putObject("counts");
+    counts.put("placed", stats.placed);
+    counts.put("evicted", stats.evicted);
+    counts.put("lost", stats.lost);
+    counts.put("rented", stats.rented);
+    counts.put("returned", stats.returned);
+    counts.put("refusedSubmissions", stats.refusedSubmissions);
+    ObjectNode latencies = page.putObject("latencyMs");
+    put(latencies, "submit", stats.submitMs);
+    put(latencies, "poll", stats.pollMs);
+    put(latencies, "startWait", stats.startWaitMs);
+    put(latencies, "placementPass", stats.passMs);
+    put(latencies, "stateService", node.store().latency());
+    return Json.bytes(page);
+  }
+
+  private static void put(ObjectNode parent, String name, Histogram histogram) {
+    ObjectNode one = parent.putObject(name);
+    one.put("count", histogram.getTotalCount());
+    one.put("p50", histogram.getValueAtPercentile(50));
+    one.put("p95", histogram.getValueAtPercentile(95));
+    one.put("p99", histogram.getValueAtPercentile(99));
+    one.put("max", histogram.getMaxValue());
+  }
+}
--- /dev/null
+++ b/src/main/java/org/fieldtrestle/protocol/Json.java
@@ -0,0 +1,103 @@
+package org.fieldtrestle.protocol;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.DeserializationFeature;
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.JsonNodeFactory;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.io.IOException;
+
+/** The one JSON mapper, and the checks that all readers of foreign JSON share. */
+public final class Json {
+  private static final ObjectMapper MAPPER =
+      new ObjectMapper().enable(DeserializationFeature.FAIL_ON_TRAILING_TOKENS);
+
+  private Json() {}
+
+  /** Foreign JSON that breaks its protocol. */
+  public static final class Malformed extends Exception {
+    private static final long serialVersionUID = 1;
+
+    public Malformed(String message) {
+      super(message);
+    }
+  }
+
+  public static ObjectNode object() {
+    return JsonNodeFactory.instance.objectNode();
+  }
+
+  public static ArrayNode array() {
+    return JsonNodeFactory.instance.arrayNode();
+  }
+
+  public static byte[] bytes(JsonNode node) {
+    try {
+      return MAPPER.writeValueAsBytes(node);
+    } catch (JsonProcessingException e) {
+      throw new IllegalStateException("a JSON tree can always be written", e);
+    }
+  }
+
+  public static JsonNode parse(byte[] body) throws Malformed {
+    JsonNode node;
+    try {
+      node = MAPPER.readTree(body);
+    } catch (IOException e) {
+      throw new Malformed("not JSON");
+    }
+    if (node == null || !node.isObject()) {
+      throw new Malformed("not an object");
+    }
+    return node;
+  }
+
+  /** Like {@link #parse}, for an answer whose body is not worth an error of its own. */
+  public static JsonNode parseOrEmpty(byte[] body) {
+    try {
+      return parse(body);
+    } catch (Malformed e) {
+      return object();
+    }
+  }
+
+  static boolean absent(JsonNode node, String field) {
+    JsonNode value = node.get(field);
+    return value == null || value.isNull();
+  }
+
+  public static String text(JsonNode node, String field) throws Malformed {
+    JsonNode value = node.path(field);
+    if (!value.isTextual()) {
+      throw new Malformed(field);
+    }
+    return value.textValue();
+  }
+
+  static boolean flag(JsonNode node, String field) throws Malformed {
+    JsonNode value = node.path(field);
+    if (!value.isBoolean()) {
+      throw new Malformed(field);
+    }
+    return value.booleanValue();
+  }
+
+  static double amount(JsonNode node, String field) throws Malformed {
+    JsonNode value = node.path(field);
+    if (!value.isNumber() || !Double.isFinite(value.doubleValue()) || value.doubleValue() < 0) {
+      throw new Malformed(field);
+    }
+    return value.doubleValue();
+  }
+
+  /** A count; those beyond a signed long, though allowed on the wire, are never sent to us. */
+  public static long count(JsonNode node, String field) throws Malformed {
+    JsonNode value = node.path(field);
+    if (!value.isIntegralNumber() || !value.canConvertToLong() || value.longValue() < 0) {
+      throw new Malformed(field);
+    }
+    return value.longValue();
+  }
+}
--- /dev/null
+++ b/src/main/java/org/fieldtrestle/protocol/PeerWire.java
@@ -0,0 +1,120 @@
+package org.fieldtrestle.protocol;
+
+import java.nio.BufferUnderflowException;
+import java.nio.ByteBuffer;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+
+/**
+ * What controllers say to each other. A frame is a length (4 bytes, of what follows), a magic and
+ * version (2 + 1), a kind (1) and a body. Nothing that a rule depends on travels here: a lost, late
+ * or repeated frame costs time only.
+ */
+public final class PeerWire {
+  public static final int MAX_FRAME = 16 * 1024;
+  private static final short MAGIC = 0x4654;
+  private static final byte VERSION = 1;
+  private static final byte LOAD = 1;
+  private static final int MAX_ITEMS = 64;
+
+  private PeerWire() {}
+
+  public sealed interface Message {}
+
+  /** Room of one kind in a zone at one master. */
+  public record Room(String zone, double cpus, double gpus, double memoryGb) {}
+
+  /** How one master stands: its free room by zone, and the CPUs that wait for room. */
+  public record Load(String sender, String master, long epoch, double waitingCpus, List<Room> rooms)
+      implements Message {}
+
+  /** A frame that is not ours or was damaged. */
+  public static final class BadFrame extends Exception {
+    private static final long serialVersionUID = 1;
+
+    public BadFrame(String message) {
+      super(message);
+    }
+  }
+
+  public static ByteBuffer encode(Message message) {
+    ByteBuffer out = ByteBuffer.allocate(MAX_FRAME);
+    out.putInt(0).putShort(MAGIC).put(VERSION);
+    if (message instanceof Load load) {
+      out.put(LOAD);
+      putText(out, load.sender());
+      putText(out, load.master());
+      out.putLong(load.epoch()).putDouble(load.waitingCpus());
+      int count = Math.min(load.rooms().size(), MAX_ITEMS);
+      out.put((byte) count);
+      for (Room room : load.rooms().subList(0, count)) {
+        putText(out, room.zone());
+        out.putDouble(room.cpus()).putDouble(room.gpus()).putDouble(room.memoryGb());
+      }
+    }
+    out.putInt(0, out.position() - 4);
+    return out.flip();
+  }
+
+  private static void putText(ByteBuffer out, String text) {
+    byte[] bytes = text.getBytes(StandardCharsets.UTF_8);
+    int length = Math.min(bytes.length, 100);
+    out.put((byte) length).put(bytes, 0, length);
+  }
+
+  private static String getText(ByteBuffer in) {
+    byte[] bytes = new byte[in.get() & 0xff];
+    in.get(bytes);
+    return new String(bytes, StandardCharsets.UTF_8);
+  }
+
+  /** Reads the body of one frame, without its length. */
+  public static Message decode(ByteBuffer in) throws BadFrame {
+    try {
+      if (in.getShort() != MAGIC) {
+        throw new BadFrame("magic");
+      }
+      byte version = in.get();
+      if (version != VERSION) {
+        throw new BadFrame("version " + version);
+      }
+      byte kind = in.get();
+      Message message =
+          switch (kind) {
+            case LOAD -> readLoad(in);
+            default -> throw new BadFrame("kind " + kind);
+          };
+      if (in.hasRemaining()) {
+        throw new BadFrame("trailing bytes");
+      }
+      return message;
+    } catch (BufferUnderflowException e) {
+      throw new BadFrame("short");
+    }
+  }
+
+  private static Load readLoad(ByteBuffer in) throws BadFrame {
+    String sender = getText(in);
+    String master = getText(in);
+    long epoch = in.getLong();
+    double waiting = amount(in);
+    int count = in.get();
+    if (count < 0 || count > MAX_ITEMS) {
+      throw new BadFrame("count " + count);
+    }
+    List<Room> rooms = new ArrayList<>();
+    for (int i = 0; i < count; i++) {
+      rooms.add(new Room(getText(in), amount(in), amount(in), amount(in)));
+    }
+    return new Load(sender, master, epoch, waiting, List.copyOf(rooms));
+  }
+
+  private static double amount(ByteBuffer in) throws BadFrame {
+    double value = in.getDouble();
+    if (!Double.isFinite(value) || value < 0) {
+      throw new BadFrame("amount");
+    }
+    return value;
+  }
+}
--- /dev/null
+++ b/src/main/java/org/fieldtrestle/protocol/TaskId.java
@@ -0,0 +1,25 @@
+package org.fieldtrestle.protocol;
+
+/** One task of a job. */
+public record TaskId(String job, int index) {
+  @Override
+  public String toString() {
+    return job + "/" + index;
+  }
+
+  public static TaskId parse(String text) throws Json.Malformed {
+    int slash = text.lastIndexOf('/');
+    if (slash < 1 || text.length() - slash > 7) {
+      throw new Json.Malformed("task");
+    }
+    try {
+      int index = Integer.parseInt(text.substring(slash + 1));
+      if (index < 0) {
+        throw new Json.Malformed("task");
+      }
+      return new TaskId(text.substring(0, slash), index);
+    } catch (NumberFormatException e) {
+      throw new Json.Malformed("task");
+    }
+  }
+}
--- /dev/null
+++ b/src/main/java/org/fieldtrestle/transport/HttpClient.java
@@ -0,0 +1,224 @@
+package org.fieldtrestle.transport;
+
+import io.netty.bootstrap.Bootstrap;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoop;
+import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.channel.socket.SocketChannel;
+import io.netty.channel.socket.nio.NioSocketChannel;
+import io.netty.handler.codec.http.DefaultFullHttpRequest;
+import io.netty.handler.codec.http.FullHttpResponse;
+import io.netty.handler.codec.http.HttpClientCodec;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpHeaderValues;
+import io.netty.handler.codec.http.HttpMethod;
+import io.netty.handler.codec.http.HttpObjectAggregator;
+import io.netty.handler.codec.http.HttpUtil;
+import io.netty.handler.codec.http.HttpVersion;
+import io.netty.util.concurrent.ScheduledFuture;
+import java.net.InetSocketAddress;
+import java.util.ArrayDeque;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
+
+/** Calls others over kept connections, one request at a time on each. Lives on one event loop. */
+public final class HttpClient implements Http.Caller {
+  /** A state service response may be large: the watch has no size limit. */
+  private static final int MAX_RESPONSE = 16 * 1024 * 1024;
+
+  private static final int IDLE_KEPT = 4;
+
+  private final EventLoop loop;
+  private final Map<String, ArrayDeque<Line>> idle = new HashMap<>();
+  private final int maxOpen;
+  private int open;
+
+  public HttpClient(EventLoop loop, int maxOpen) {
+    this.loop = loop;
+    this.maxOpen = maxOpen;
+  }
+
+  @Override
+  public void call(
+      String address,
+      String method,
+      String path,
+      byte[] body,
+      long timeoutMs,
+      Consumer<Http.Outcome> done) {
+    Pending pending = new Pending(method, path, body, done);
+    ArrayDeque<Line> kept = idle.get(address);
+    Line line = null;
+    while (kept != null && line == null && !kept.isEmpty()) {
+      Line candidate = kept.pollLast();
+      line = candidate.channel.isActive() ? candidate : null;
+    }
+    if (line != null) {
+      pending.limit(timeoutMs, line);
+      line.send(address, pending);
+      return;
+    }
+    if (open >= maxOpen) {
+      loop.execute(() -> pending.finish(new Http.NotSent("no free socket")));
+      return;
+    }
+    connect(address, pending, timeoutMs);
+  }
+
+  private void connect(String address, Pending pending, long timeoutMs) {
+    open++;
+    Line fresh = new Line(address);
+    ChannelFuture connecting =
+        new Bootstrap()
+            .group(loop)
+            .channel(NioSocketChannel.class)
+            .option(ChannelOption.TCP_NODELAY, true)
+            .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, (int) Math.min(timeoutMs, 60_000))
+            .handler(
+                new ChannelInitializer<SocketChannel>() {
+                  @Override
+                  protected void initChannel(SocketChannel ch) {
+                    ch.pipeline()
+                        .addLast(new HttpClientCodec(4096, 8192, 8192, false, false))
+                        .addLast(new HttpObjectAggregator(MAX_RESPONSE))
+                        .addLast(fresh);
+                  }
+                })
+            .connect(socket(address));
+    fresh.channel = connecting.channel();
+    fresh.channel.closeFuture().addListener(f -> open--);
+    pending.limit(timeoutMs, fresh);
+    connecting.addListener(
+        f -> {
+          if (!f.isSuccess()) {
+            fresh.channel.close();
+            pending.finish(new Http.NotSent("connect: " + f.cause().getMessage()));
+          } else if (pending.over) {
+            fresh.channel.close();
+          } else {
+            fresh.send(address, pending);
+          }
+        });
+  }
+
+  public static InetSocketAddress socket(String address) {
+    int colon = address.lastIndexOf(':');
+    return new InetSocketAddress(
+        address.substring(0, colon), Integer.parseInt(address.substring(colon + 1)));
+  }
+
+  private final class Pending {
+    final String method;
+    final String path;
+    final byte[] body;
+    final Consumer<Http.Outcome> done;
+    ScheduledFuture<?> timer;
+    boolean written;
+    boolean over;
+
+    Pending(String method, String path, byte[] body, Consumer<Http.Outcome> done) {
+      this.method = method;
+      this.path = path;
+      this.body = body;
+      this.done = done;
+    }
+
+    void limit(long timeoutMs, Line line) {
+      timer =
+          loop.schedule(
+              () -> {
+                line.current = null;
+                line.channel.close();
+                finish(written ? new Http.Unknown("timeout") : new Http.NotSent("timeout"));
+              },
+              timeoutMs,
+              TimeUnit.MILLISECONDS);
+    }
+
+    void finish(Http.Outcome outcome) {
+      if (!over) {
+        over = true;
+        if (timer != null) {
+          timer.cancel(false);
+        }
+        done.accept(outcome);
+      }
+    }
+  }
+
+  private final class Line extends SimpleChannelInboundHandler<FullHttpResponse> {
+    final String address;
+    Channel channel;
+    Pending current;
+
+    Line(String address) {
+      this.address = address;
+    }
+
+    void send(String host, Pending pending) {
+      current = pending;
+      pending.written = true;
+      DefaultFullHttpRequest request =
+          new DefaultFullHttpRequest(
+              HttpVersion.HTTP_1_1,
+              HttpMethod.valueOf(pending.method),
+              pending.path,
+              Unpooled.wrappedBuffer(pending.body));
+      request.headers().set(HttpHeaderNames.HOST, host);
+      if (pending.body.length > 0) {
+        request.headers().set(HttpHeaderNames.CONTENT_TYPE, HttpHeaderValues.APPLICATION_JSON);
+      }
+      request.headers().set(HttpHeaderNames.CONTENT_LENGTH, pending.body.length);
+      channel.writeAndFlush(request);
+    }
+
+    @Override
+    protected void channelRead0(ChannelHandlerContext ctx, FullHttpResponse message) {
+      Pending answered = current;
+      current = null;
+      byte[] body = new byte[message.content().readableBytes()];
+      message.content().readBytes(body);
+      if (answered == null || !HttpUtil.isKeepAlive(message)) {
+        ctx.close();
+      } else {
+        ArrayDeque<Line> kept = idle.computeIfAbsent(address, a -> new ArrayDeque<>());
+        if (kept.size() < IDLE_KEPT) {
+          kept.addLast(this);
+        } else {
+          ctx.close();
+        }
+      }
+      if (answered != null) {
+        answered.finish(new Http.Answer(message.status().code(), body));
+      }
+    }
+
+    @Override
+    public void channelInactive(ChannelHandlerContext ctx) {
+      ArrayDeque<Line> kept = idle.get(address);
+      if (kept != null) {
+        kept.remove(this);
+        if (kept.isEmpty()) {
+          idle.remove(address);
+        }
+      }
+      if (current != null) {
+        Pending lost = current;
+        current = null;
+        lost.finish(new Http.Unknown("connection closed"));
+      }
+    }
+
+    @Override
+    public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
+      ctx.close();
+    }
+  }
+}
