Hand waiting tasks on between masters and rent by deadlines

Cause: a range stayed with the master that intake chose, so one master's machines idled while another's tasks waited (cedolini waited 292 s at the median), and every backlog was rented for as if it were due in two boots. Ruled out: image fetches alone, since machines stood empty meanwhile.

--- a/src/main/java/org/fieldtrestle/bookkeeping/Records.java
+++ b/src/main/java/org/fieldtrestle/bookkeeping/Records.java
@@ -155,6 +155,11 @@
       return new Range(master, from, to, more, caps, team, cpus, gpus);
     }
 
+    /** The part of it from {@code a} up to but without {@code b}, counted in the job's tasks. */
+    public Range between(int a, int b) {
+      return new Range(master, a, b, done.get(a - from, b - from), caps, team, cpus, gpus);
+    }
+
     public Range ownedBy(String other) {
       return new Range(other, from, to, done, caps, team, cpus, gpus);
     }
--- a/src/main/java/org/fieldtrestle/coordination/Controller.java
+++ b/src/main/java/org/fieldtrestle/coordination/Controller.java
@@ -60,11 +60,22 @@
     String boot = Long.toHexString(random.nextLong());
     Membership membership = new Membership(reactor, store, view, settings, boot);
     Cloud cloud = new Cloud(reactor, caller, settings);
+    this.loads =
+        new Loads(reactor, settings.label(), Math.round(settings.workers().reportS() * 1200));
     this.node =
         new Node(
-            settings, tuning, reactor, random, caller, store, view, cloud, membership, new Stats());
-    this.loads = new Loads(reactor, settings.label(), node.reportMs(1.2));
-    this.gateway = new Gateway(node, loads, this::running);
+            settings,
+            tuning,
+            reactor,
+            random,
+            caller,
+            store,
+            view,
+            cloud,
+            membership,
+            loads,
+            new Stats());
+    this.gateway = new Gateway(node, this::running);
   }
 
   public void start() {
--- a/src/main/java/org/fieldtrestle/coordination/Fleet.java
+++ b/src/main/java/org/fieldtrestle/coordination/Fleet.java
@@ -1,6 +1,7 @@
 package org.fieldtrestle.coordination;
 
 import java.util.ArrayList;
+import java.util.Comparator;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
@@ -18,6 +19,9 @@
 final class Fleet {
   private static final Logger LOG = LoggerFactory.getLogger(Fleet.class);
 
+  /** How much of the time that a deadline leaves may pass before the last waiting task starts. */
+  private static final double SLACK_USED = 0.6;
+
   private final Master master;
   private final Node node;
   private final Faults faults;
@@ -326,69 +330,93 @@
     loadAt = now;
   }
 
-  private record Need(MachineType type, boolean spot, String zone, double machines) {}
+  /** Waiting work that has to be through within some time, in seconds of a whole machine. */
+  private record Need(MachineType type, boolean spot, String zone, double work, double withinS) {}
 
   private void rent(long now) {
     measure(now);
     if (renting > 0 || node.types().isEmpty() || node.store().crowded()) {
       return;
     }
-    Map<String, Need> needs = new HashMap<>();
-    double waitingWork = 0;
+    List<Need> needs = new ArrayList<>();
     for (OwnedRange range : master.ranges.values()) {
-      JobSpec spec = range.spec;
-      if (spec == null || range.ended || range.waiting() == 0) {
-        continue;
-      }
-      MachineType type = typeFor(spec);
-      if (type == null) {
-        continue;
+      if (range.spec != null && !range.ended && range.waiting() > 0) {
+        MachineType type = typeFor(range.spec);
+        if (type != null) {
+          needs.add(need(range, type, now));
+        }
       }
-      double work = machineSeconds(spec, range.waiting());
-      waitingWork += work;
-      String zone = range.zone != null ? range.zone : spec.zone();
-      String key = type.name() + "/" + spec.spot() + "/" + zone;
-      double before = needs.containsKey(key) ? needs.get(key).machines() : 0;
-      needs.put(key, new Need(type, spec.spot(), zone, before + work));
     }
     if (needs.isEmpty()) {
       return;
     }
-    Need largest = null;
-    for (Need need : needs.values()) {
-      if (largest == null || need.machines() > largest.machines()) {
-        largest = need;
-      }
-    }
-    MachineType type = largest.type();
-    double horizon = type.bootS() * 2;
-    double room = 0;
+    needs.sort(Comparator.comparingDouble(Need::withinS));
+    MachineType type = needs.get(0).type();
+    double busy = 0;
     int machines = 0;
+    double booting = 0;
     for (Host host : master.hosts.values()) {
       if (host.draining || host.lost) {
         continue;
       }
       machines++;
-      double boot =
-          host.up ? 0 : Math.max(type.bootS() * 0.2, type.bootS() - host.ageMs(now) / 1000.0);
-      room += horizon - boot;
+      if (!host.up) {
+        booting += Math.max(type.bootS() * 0.2, type.bootS() - host.ageMs(now) / 1000.0);
+      }
       for (Placed task : host.placed.values()) {
         if (task.live() && task.range != null && task.range.spec != null) {
           JobSpec spec = task.range.spec;
-          room -=
-              Math.min(horizon, Math.max(2, task.remainingS(now, spec.estimateS())))
-                  / perMachine(type, spec);
+          busy += Math.max(2, remainingS(task, type, now)) / perMachine(type, spec);
         }
       }
     }
-    int wanted =
-        (int) Math.ceil((waitingWork - Math.max(0, room)) / (horizon - type.bootS()) - 0.2);
+    // Whatever has to be through first comes first; each later need adds to what is before it.
+    double work = 0;
+    int wanted = 0;
+    Need largest = needs.get(0);
+    for (Need need : needs) {
+      work += need.work();
+      double room = machines * need.withinS() - booting - busy;
+      double missing = (work - Math.max(0, room)) / (need.withinS() - type.bootS());
+      if (Math.ceil(missing - 0.2) > wanted) {
+        wanted = (int) Math.ceil(missing - 0.2);
+        largest = need;
+      }
+    }
     wanted = Math.max(wanted, (int) Math.ceil(target()) - machines);
     if (wanted > 0) {
       hire(largest, Math.min(wanted, CloudWire.MAX_RENT), now);
     }
   }
 
+  private Need need(OwnedRange range, MachineType type, long now) {
+    JobSpec spec = range.spec;
+    double work =
+        (spec.estimateS() + fetchS(type, spec) / 2) * range.waiting() / perMachine(type, spec);
+    String zone = range.zone != null ? range.zone : spec.zone();
+    double waited = (now - range.waitingSince) / 1000.0;
+    double slack =
+        spec.deadlineS() < 0
+            ? 4 * type.bootS()
+            : (spec.deadlineS() - waited - spec.estimateS() - fetchS(type, spec)) * SLACK_USED;
+    // A machine that is rented now helps no sooner than it boots, however late the job is.
+    double within = Math.min(Math.max(slack, 2 * type.bootS()), 6 * type.bootS());
+    return new Need(type, spec.spot(), zone, work, within);
+  }
+
+  private static double fetchS(MachineType type, JobSpec spec) {
+    return type.fetchGbPerS() > 0 ? spec.imageGb() / type.fetchGbPerS() : 0;
+  }
+
+  private static double remainingS(Placed task, MachineType type, long now) {
+    JobSpec spec = task.range.spec;
+    double fetch =
+        task.runningSince >= 0
+            ? 0
+            : Math.max(0, fetchS(type, spec) - (now - task.placedAt) / 1000.0);
+    return fetch + task.remainingS(now, spec.estimateS());
+  }
+
   private void hire(Need need, int count, long now) {
     List<String> zones = new ArrayList<>();
     for (String zone : need.type().zones()) {
--- a/src/main/java/org/fieldtrestle/coordination/Gateway.java
+++ b/src/main/java/org/fieldtrestle/coordination/Gateway.java
@@ -54,11 +54,11 @@
     int of(String job);
   }
 
-  public Gateway(Node node, Loads loads, Running running) {
+  public Gateway(Node node, Running running) {
     super(node.reactor());
     this.node = node;
     this.barrier = new Barrier(node);
-    this.loads = loads;
+    this.loads = node.loads();
     this.running = running;
   }
 
--- a/src/main/java/org/fieldtrestle/coordination/Host.java
+++ b/src/main/java/org/fieldtrestle/coordination/Host.java
@@ -132,26 +132,63 @@
     return sum;
   }
 
-  boolean hasRoom(MachineType of, JobSpec spec) {
-    double slack = 1e-6;
-    return usedCpus() + spec.cpus() <= of.cpus() + slack
-        && usedGpus() + spec.gpus() <= of.gpus() + slack
-        && usedMemory() + spec.memoryGb() <= of.memoryGb() + slack;
+  /** What is free on it, for as long as nothing changes. */
+  Room room(MachineType of) {
+    return new Room(
+        this, of, of.cpus() - usedCpus(), of.gpus() - usedGpus(), of.memoryGb() - usedMemory());
   }
 
-  /** Room left after taking a task, as the sum of shares: the paper's most matched has least. */
-  double roomAfter(MachineType of, JobSpec spec) {
-    double left = 0;
-    if (of.cpus() > 0) {
-      left += (of.cpus() - usedCpus() - spec.cpus()) / of.cpus();
+  /** A machine's free amounts during one placement pass. */
+  static final class Room {
+    final Host host;
+    final MachineType type;
+    private double cpus;
+    private double gpus;
+    private double memoryGb;
+
+    Room(Host host, MachineType type, double cpus, double gpus, double memoryGb) {
+      this.host = host;
+      this.type = type;
+      this.cpus = cpus;
+      this.gpus = gpus;
+      this.memoryGb = memoryGb;
+    }
+
+    boolean fits(JobSpec spec) {
+      double slack = 1e-6;
+      return spec.cpus() <= cpus + slack
+          && spec.gpus() <= gpus + slack
+          && spec.memoryGb() <= memoryGb + slack;
     }
-    if (of.gpus() > 0) {
-      left += (of.gpus() - usedGpus() - spec.gpus()) / of.gpus();
+
+    void take(JobSpec spec) {
+      cpus -= spec.cpus();
+      gpus -= spec.gpus();
+      memoryGb -= spec.memoryGb();
     }
-    if (of.memoryGb() > 0) {
-      left += (of.memoryGb() - usedMemory() - spec.memoryGb()) / of.memoryGb();
+
+    double cpus() {
+      return Math.max(0, cpus);
+    }
+
+    double gpus() {
+      return Math.max(0, gpus);
+    }
+
+    double memoryGb() {
+      return Math.max(0, memoryGb);
+    }
+
+    /** Room left after taking a task, as the sum of shares: the paper's most matched has least. */
+    double after(JobSpec spec) {
+      return part(cpus - spec.cpus(), type.cpus())
+          + part(gpus - spec.gpus(), type.gpus())
+          + part(memoryGb - spec.memoryGb(), type.memoryGb());
+    }
+
+    private static double part(double left, double of) {
+      return of > 0 ? left / of : 0;
     }
-    return left;
   }
 
   void usesImage(String image, double gb, double cacheGb) {
--- a/src/main/java/org/fieldtrestle/coordination/Loads.java
+++ b/src/main/java/org/fieldtrestle/coordination/Loads.java
@@ -60,10 +60,15 @@
           free += tasksIn(room, spec, one.cpusTaken);
         }
       }
-      all.add(new Split.Candidate(entry.getKey(), free, one.load.waitingCpus() + one.cpusTaken));
+      all.add(
+          new Split.Candidate(
+              entry.getKey(),
+              free,
+              one.load.waitingCpus() + one.cpusTaken,
+              one.load.capacityCpus()));
     }
     if (all.isEmpty()) {
-      all.add(new Split.Candidate(self, 0, 0));
+      all.add(new Split.Candidate(self, 0, 0, 0));
     }
     return all;
   }
@@ -82,6 +87,22 @@
     return (int) Math.max(0, Math.floor(most));
   }
 
+  /** The fresh master other than this one where least waits for its CPUs; null if there is none. */
+  Split.Candidate leastLoaded(JobSpec spec, String zone, String except) {
+    Split.Candidate best = null;
+    for (Split.Candidate one : candidates(spec, zone)) {
+      if (one.master().equals(except) || !known.containsKey(one.master())) {
+        continue;
+      }
+      if (best == null
+          || one.freeTasks() > best.freeTasks()
+          || one.freeTasks() == best.freeTasks() && one.pressure() < best.pressure()) {
+        best = one;
+      }
+    }
+    return best;
+  }
+
   /** What was handed out since a master last told counts as taken. */
   void taken(JobSpec spec, List<Split.Part> parts) {
     for (Split.Part part : parts) {
--- a/src/main/java/org/fieldtrestle/coordination/Master.java
+++ b/src/main/java/org/fieldtrestle/coordination/Master.java
@@ -66,6 +66,7 @@
   private final Fleet fleet;
   private final Shares shares;
   private final Faults faults;
+  private final Rehand rehand;
   private final boolean othersMayAct;
   private final long begunAt;
   private boolean active;
@@ -85,6 +86,7 @@
     this.faults = new Faults(this);
     this.fleet = new Fleet(this, faults);
     this.shares = new Shares(this);
+    this.rehand = new Rehand(this);
   }
 
   @Override
@@ -558,6 +560,7 @@
     }
     range.record = kept.record();
     range.version = kept.version();
+    range.fresh.clear(range.record.size(), Math.max(range.record.size(), range.fresh.length()));
     range.finished.andNot(range.record.done());
     range.fresh.andNot(range.record.done());
     for (Host host : hosts.values()) {
@@ -617,7 +620,7 @@
   }
 
   /** A machine that may hold tasks of it has not been heard of in this epoch. */
-  private boolean blocked(OwnedRange range) {
+  boolean blocked(OwnedRange range) {
     return range.inherited && anyUnresolved();
   }
 
@@ -630,6 +633,38 @@
     return false;
   }
 
+  /**
+   * After handing tasks on has failed or its fate is unknown: they may still be taken by the late
+   * transaction, until a write of our own has moved the range's version past it.
+   */
+  void settle(OwnedRange range, BitSet held) {
+    if (over || ranges.get(range.key) != range) {
+      return;
+    }
+    write(
+        List.of(new StateWire.Condition(Records.range(range.key), range.version)),
+        List.of(new StateWire.Put(Records.range(range.key), Records.write(range.record), 0)),
+        committed -> {
+          if (!committed) {
+            settle(range, held);
+            return;
+          }
+          held.clear(range.record.size(), Math.max(range.record.size(), held.length()));
+          held.andNot(range.record.done());
+          range.fresh.or(held);
+          written(range);
+          passSoon();
+        });
+  }
+
+  /** A write of the range is over; what has finished meanwhile goes into the next. */
+  void written(OwnedRange range) {
+    range.writing = false;
+    if (!range.finished.isEmpty() && ranges.get(range.key) == range) {
+      writeSoon(range);
+    }
+  }
+
   private void writeSoon(OwnedRange range) {
     if (!range.writing) {
       range.writing = true;
@@ -656,10 +691,7 @@
         conditions,
         changes,
         committed -> {
-          range.writing = false;
-          if (!range.finished.isEmpty() && ranges.get(range.key) == range) {
-            writeSoon(range);
-          }
+          written(range);
           sendDirect();
         });
   }
@@ -719,6 +751,7 @@
       shares.tick();
       fleet.tick(now);
       pass();
+      rehand.tick(now);
       sendDirect();
     }
   }
@@ -783,18 +816,23 @@
     }
     long now = node.now();
     List<Falcon.Waiting<Group>> groups = waitingGroups(now);
+    if (groups.isEmpty()) {
+      return;
+    }
+    List<Host.Room> rooms = rooms(now);
     List<Falcon.Waiting<Group>> stuck = new ArrayList<>();
     while (!groups.isEmpty()) {
       Falcon.Waiting<Group> next = falcon.next(groups);
       groups.remove(next);
       OwnedRange range = next.what().range();
-      Host host = choose(range, next.what(), now);
-      if (host == null) {
+      Host.Room room = choose(rooms, range, next.what());
+      if (room == null) {
         stuck.add(next);
         continue;
       }
       int offset = next.what().isFresh() ? range.fresh.nextSetBit(0) : next.what().offset();
-      place(range, offset, host, now);
+      place(range, offset, room.host, now);
+      room.take(range.spec);
       if (next.count() > 1) {
         groups.add(
             new Falcon.Waiting<>(next.what(), next.priority(), next.score(), next.count() - 1));
@@ -804,6 +842,18 @@
     Stats.record(node.stats().passMs, node.now() - now);
   }
 
+  /** The free amounts of all machines that may be given tasks. */
+  private List<Host.Room> rooms(long now) {
+    List<Host.Room> rooms = new ArrayList<>();
+    for (Host host : hosts.values()) {
+      MachineType type = node.type(host.type);
+      if (type != null && usable(host, now)) {
+        rooms.add(host.room(type));
+      }
+    }
+    return rooms;
+  }
+
   boolean usable(Host host, long now) {
     return host.resolved
         && mayStart(host)
@@ -822,29 +872,25 @@
   }
 
   /** The fitting machine with the least room left, of those that have the image if any has it. */
-  private Host choose(OwnedRange range, Group group, long now) {
+  private Host.Room choose(List<Host.Room> rooms, OwnedRange range, Group group) {
     JobSpec spec = range.spec;
     if (!shares.allows(spec)) {
       return null;
     }
     int offset = group.isFresh() ? range.fresh.nextSetBit(0) : group.offset();
-    Host best = null;
+    Host.Room best = null;
     boolean bestHas = false;
-    double bestRoom = 0;
-    for (Host host : hosts.values()) {
-      MachineType type = node.type(host.type);
-      if (type == null
-          || !usable(host, now)
-          || !allowed(range, offset, host)
-          || !host.hasRoom(type, spec)) {
+    double bestLeft = 0;
+    for (Host.Room room : rooms) {
+      if (!room.fits(spec) || !allowed(range, offset, room.host)) {
         continue;
       }
-      boolean has = host.hasImage(spec.image());
-      double room = host.roomAfter(type, spec);
-      if (best == null || (has && !bestHas) || (has == bestHas && room < bestRoom)) {
-        best = host;
+      boolean has = room.host.hasImage(spec.image());
+      double left = room.after(spec);
+      if (best == null || (has && !bestHas) || (has == bestHas && left < bestLeft)) {
+        best = room;
         bestHas = has;
-        bestRoom = room;
+        bestLeft = left;
       }
     }
     return best;
@@ -871,7 +917,6 @@
     if (stuck.isEmpty() || now - lastEviction < node.reportMs(0.5)) {
       return;
     }
-    Tuning tuning = node.tuning();
     for (Host host : hosts.values()) {
       MachineType type = node.type(host.type);
       if (type == null || !usable(host, now) || stopping(host)) {
@@ -890,7 +935,8 @@
       }
       List<Falcon.Waiting<Group>> ready = new ArrayList<>();
       for (Falcon.Waiting<Group> one : queue) {
-        if (waited(one.what(), now) >= tuning.evictWaitS() && falcon.outscoresEnough(one, queue)) {
+        if (waited(one.what(), now) >= node.evictWaitS(one.what().range().spec)
+            && falcon.outscoresEnough(one, queue)) {
           ready.add(one);
         }
       }
@@ -933,14 +979,16 @@
                 task,
                 other.priority(),
                 falcon.score(task.remainingS(now, other.estimateS()), task.waitedS),
-                task.elapsedS(now),
+                // An image on its way is work too: giving it up and fetching again helps nobody.
+                (now - task.placedAt) / 1000.0,
                 other.estimateS(),
                 shares.owed(spec.team(), other.team())));
       }
     }
-    double cpus = type.cpus() - host.usedCpus();
-    double gpus = type.gpus() - host.usedGpus();
-    double memory = type.memoryGb() - host.usedMemory();
+    Host.Room free = host.room(type);
+    double cpus = free.cpus();
+    double gpus = free.gpus();
+    double memory = free.memoryGb();
     List<Placed> chosen = new ArrayList<>();
     for (Falcon.Running<Placed> victim : falcon.victims(drawn, running)) {
       if (cpus >= spec.cpus() && gpus >= spec.gpus() && memory >= spec.memoryGb()) {
@@ -1030,25 +1078,28 @@
   PeerWire.Load load() {
     long now = node.now();
     Map<String, double[]> rooms = new TreeMap<>();
+    for (Host.Room free : rooms(now)) {
+      double[] room = rooms.computeIfAbsent(free.host.zone, z -> new double[3]);
+      room[0] += free.cpus();
+      room[1] += free.gpus();
+      room[2] += free.memoryGb();
+    }
+    List<PeerWire.Room> all = new ArrayList<>();
+    rooms.forEach((zone, r) -> all.add(new PeerWire.Room(zone, r[0], r[1], r[2])));
+    double capacity = 0;
     for (Host host : hosts.values()) {
       MachineType type = node.type(host.type);
-      if (type == null || !usable(host, now)) {
-        continue;
+      if (type != null && !host.draining && !host.lost) {
+        capacity += type.cpus();
       }
-      double[] room = rooms.computeIfAbsent(host.zone, z -> new double[3]);
-      room[0] += Math.max(0, type.cpus() - host.usedCpus());
-      room[1] += Math.max(0, type.gpus() - host.usedGpus());
-      room[2] += Math.max(0, type.memoryGb() - host.usedMemory());
     }
-    List<PeerWire.Room> all = new ArrayList<>();
-    rooms.forEach((zone, r) -> all.add(new PeerWire.Room(zone, r[0], r[1], r[2])));
     double waiting = 0;
     for (OwnedRange range : ranges.values()) {
       if (!range.ended) {
         waiting += range.waiting() * range.record.cpus();
       }
     }
-    return new PeerWire.Load(node.membership().self(), name, epoch, waiting, all);
+    return new PeerWire.Load(node.membership().self(), name, epoch, waiting, capacity, all);
   }
 
   boolean isActive() {
--- a/src/main/java/org/fieldtrestle/coordination/Node.java
+++ b/src/main/java/org/fieldtrestle/coordination/Node.java
@@ -5,6 +5,7 @@
 import org.fieldtrestle.bookkeeping.Store;
 import org.fieldtrestle.bookkeeping.View;
 import org.fieldtrestle.protocol.CloudWire;
+import org.fieldtrestle.protocol.JobSpec;
 import org.fieldtrestle.protocol.Settings;
 import org.fieldtrestle.transport.Http;
 import org.fieldtrestle.transport.Reactor;
@@ -20,6 +21,7 @@
     View view,
     Cloud cloud,
     Membership membership,
+    Loads loads,
     Stats stats) {
 
   public CloudWire.MachineType type(String name) {
@@ -44,6 +46,17 @@
     return membership.acting();
   }
 
+  /** A class that is to start within some time may evict after half of it, if that is sooner. */
+  double evictWaitS(JobSpec spec) {
+    double wait = tuning.evictWaitS();
+    for (Settings.Objective aim : settings.objectives()) {
+      if (aim.kind().equals("wait") && aim.jobClass().equals(spec.jobClass())) {
+        wait = Math.min(wait, aim.withinS() / 2);
+      }
+    }
+    return wait;
+  }
+
   public long reportMs(double times) {
     return Math.round(settings.workers().reportS() * 1000 * times);
   }
--- /dev/null
+++ b/src/main/java/org/fieldtrestle/coordination/Rehand.java
@@ -0,0 +1,133 @@
+package org.fieldtrestle.coordination;
+
+import java.util.ArrayList;
+import java.util.BitSet;
+import java.util.List;
+import org.fieldtrestle.bookkeeping.Records;
+import org.fieldtrestle.protocol.StateWire;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/**
+ * Hands waiting tasks on to a master that has room, or where less waits for each CPU. Only tasks
+ * that were never started go, as the tail of a range that becomes a range of its own.
+ */
+final class Rehand {
+  private static final Logger LOG = LoggerFactory.getLogger(Rehand.class);
+
+  /** How many times more has to wait here than there, where neither has room. */
+  private static final double STEEPER = 1.5;
+
+  private final Master master;
+  private final Node node;
+  private boolean writing;
+  private long nextAt;
+
+  Rehand(Master master) {
+    this.master = master;
+    this.node = master.node;
+  }
+
+  void tick(long now) {
+    if (writing || now < nextAt || node.store().crowded()) {
+      return;
+    }
+    for (OwnedRange range : master.ranges.values()) {
+      int tail = tail(range);
+      if (tail > 0 && hand(range, tail)) {
+        nextAt = now + node.reportMs(0.2);
+        return;
+      }
+    }
+  }
+
+  /** How many tasks at the end of the range have never been anywhere. */
+  private int tail(OwnedRange range) {
+    if (range.spec == null
+        || range.ended
+        || range.writing
+        || master.blocked(range)
+        || !range.record.caps().isEmpty()
+        || node.view().rangesOf(range.key.job()).size() + 4 > node.settings().state().txnOps()) {
+      return 0;
+    }
+    int size = range.record.size();
+    return size - 1 - range.fresh.previousClearBit(size - 1);
+  }
+
+  private boolean hand(OwnedRange range, int tail) {
+    String zone = range.zone != null ? range.zone : range.spec.zone();
+    Split.Candidate to = node.loads().leastLoaded(range.spec, zone, master.name);
+    if (to == null) {
+      return false;
+    }
+    double cpus = Math.max(range.spec.cpus(), 0.1);
+    int count = 0;
+    if (to.freeTasks() > 0 && to.waitingCpus() < cpus) {
+      count = to.freeTasks();
+    } else {
+      double capacity = 0;
+      double waiting = 0;
+      var mine = master.load();
+      capacity = mine.capacityCpus();
+      waiting = mine.waitingCpus();
+      if (waiting / Math.max(1, capacity) > STEEPER * to.pressure() + 0.25) {
+        // Level: what moves leaves both with as much for each CPU.
+        double level = (waiting + to.waitingCpus()) / Math.max(1, capacity + to.capacityCpus());
+        count = (int) ((waiting - level * capacity) / cpus);
+      }
+    }
+    count = Math.min(count, tail);
+    if (count <= 0) {
+      return false;
+    }
+    move(range, count, to.master());
+    return true;
+  }
+
+  private void move(OwnedRange range, int count, String to) {
+    Records.Range whole = range.record;
+    int cut = whole.to() - count;
+    Records.RangeKey fresh =
+        new Records.RangeKey(
+            range.key.job(),
+            node.view().rangesOf(range.key.job()).keySet().stream().mapToInt(i -> i).max().orElse(0)
+                + 1);
+    List<StateWire.Condition> conditions = new ArrayList<>();
+    List<StateWire.Change> changes = new ArrayList<>();
+    conditions.add(new StateWire.Condition(Records.range(range.key), range.version));
+    conditions.add(new StateWire.Condition(Records.range(fresh), 0));
+    conditions.add(
+        new StateWire.Condition(
+            Records.job(range.key.job()), node.view().version(Records.job(range.key.job()))));
+    if (cut == whole.from()) {
+      conditions.remove(1);
+      changes.add(new StateWire.Put(Records.range(range.key), Records.write(whole.ownedBy(to)), 0));
+    } else {
+      changes.add(
+          new StateWire.Put(
+              Records.range(range.key), Records.write(whole.between(whole.from(), cut)), 0));
+      changes.add(
+          new StateWire.Put(
+              Records.range(fresh), Records.write(whole.between(cut, whole.to()).ownedBy(to)), 0));
+    }
+    // From here on these tasks may be another master's at any time: they are not to be started.
+    BitSet held = new BitSet();
+    held.set(cut - whole.from(), whole.size());
+    range.fresh.andNot(held);
+    range.writing = true;
+    writing = true;
+    LOG.debug("handing {} tasks of {} to {}", count, range.key, to);
+    master.write(
+        conditions,
+        changes,
+        committed -> {
+          writing = false;
+          if (committed) {
+            master.written(range);
+          } else {
+            master.settle(range, held);
+          }
+        });
+  }
+}
--- a/src/main/java/org/fieldtrestle/coordination/Split.java
+++ b/src/main/java/org/fieldtrestle/coordination/Split.java
@@ -12,8 +12,16 @@
 public final class Split {
   private Split() {}
 
-  /** A master that may take tasks: how many it has room for now, and what waits there already. */
-  public record Candidate(String master, int freeTasks, double waitingCpus) {}
+  /**
+   * A master that may take tasks: how many it has room for now, what waits there already, and the
+   * CPUs of its machines.
+   */
+  public record Candidate(String master, int freeTasks, double waitingCpus, double capacityCpus) {
+    /** What waits, measured in all of its machines. */
+    double pressure() {
+      return waitingCpus / Math.max(1, capacityCpus);
+    }
+  }
 
   /** Tasks from {@code from} up to but without {@code to} for a master. */
   public record Part(String master, int from, int to, Map<String, Integer> caps) {}
@@ -56,7 +64,7 @@
     return parts;
   }
 
-  /** Levels what waits: each next bite goes to the master with the least. */
+  /** Levels what waits: each next bite goes where least waits for its CPUs. */
   private static void spread(
       JobSpec spec, List<Candidate> candidates, Map<String, Integer> counts, int left) {
     if (left == 0) {
@@ -69,7 +77,8 @@
     while (left > 0) {
       Candidate least = candidates.get(0);
       for (Candidate candidate : candidates) {
-        if (waiting.get(candidate.master()) < waiting.get(least.master())) {
+        if (waiting.get(candidate.master()) / Math.max(cpus, candidate.capacityCpus())
+            < waiting.get(least.master()) / Math.max(cpus, least.capacityCpus())) {
           least = candidate;
         }
       }
--- a/src/main/java/org/fieldtrestle/protocol/PeerWire.java
+++ b/src/main/java/org/fieldtrestle/protocol/PeerWire.java
@@ -25,8 +25,17 @@
   /** Room of one kind in a zone at one master. */
   public record Room(String zone, double cpus, double gpus, double memoryGb) {}
 
-  /** How one master stands: its free room by zone, and the CPUs that wait for room. */
-  public record Load(String sender, String master, long epoch, double waitingCpus, List<Room> rooms)
+  /**
+   * How one master stands: its free room by zone, the CPUs that wait for room, and those of all its
+   * machines, booting ones too.
+   */
+  public record Load(
+      String sender,
+      String master,
+      long epoch,
+      double waitingCpus,
+      double capacityCpus,
+      List<Room> rooms)
       implements Message {}
 
   /** A frame that is not ours or was damaged. */
@@ -45,7 +54,7 @@
       out.put(LOAD);
       putText(out, load.sender());
       putText(out, load.master());
-      out.putLong(load.epoch()).putDouble(load.waitingCpus());
+      out.putLong(load.epoch()).putDouble(load.waitingCpus()).putDouble(load.capacityCpus());
       int count = Math.min(load.rooms().size(), MAX_ITEMS);
       out.put((byte) count);
       for (Room room : load.rooms().subList(0, count)) {
@@ -99,6 +108,7 @@
     String master = getText(in);
     long epoch = in.getLong();
     double waiting = amount(in);
+    double capacity = amount(in);
     int count = in.get();
     if (count < 0 || count > MAX_ITEMS) {
       throw new BadFrame("count " + count);
@@ -107,7 +117,7 @@
     for (int i = 0; i < count; i++) {
       rooms.add(new Room(getText(in), amount(in), amount(in), amount(in)));
     }
-    return new Load(sender, master, epoch, waiting, List.copyOf(rooms));
+    return new Load(sender, master, epoch, waiting, capacity, List.copyOf(rooms));
   }
 
   private static double amount(ByteBuffer in) throws BadFrame {
