Let tasks wait for machines that have their image

Cause: a freed machine took whatever scored highest and fetched its image, 50 s for a 5 GB one. Now a task waits where those that have the image get through all that waits for it before a fetch would end.

--- a/src/main/java/org/fieldtrestle/coordination/Fleet.java
+++ b/src/main/java/org/fieldtrestle/coordination/Fleet.java
@@ -404,7 +404,7 @@
     return new Need(type, spec.spot(), zone, work, within);
   }
 
-  private static double fetchS(MachineType type, JobSpec spec) {
+  static double fetchS(MachineType type, JobSpec spec) {
     return type.fetchGbPerS() > 0 ? spec.imageGb() / type.fetchGbPerS() : 0;
   }
 
--- a/src/main/java/org/fieldtrestle/coordination/Master.java
+++ b/src/main/java/org/fieldtrestle/coordination/Master.java
@@ -74,6 +74,7 @@
   private long attempts;
   private boolean passDue;
   private long lastEviction;
+  private long reportedAt;
 
   public Master(Node node, String name, long epoch, boolean othersMayAct) {
     super(node.reactor());
@@ -752,6 +753,7 @@
       fleet.tick(now);
       pass();
       rehand.tick(now);
+      report(now);
       sendDirect();
     }
   }
@@ -810,6 +812,53 @@
     return groups;
   }
 
+  /** One line on where the master stands, for whoever reads the log later. */
+  private void report(long now) {
+    if (now - reportedAt < node.reportMs(10)) {
+      return;
+    }
+    reportedAt = now;
+    double capacity = 0;
+    double used = 0;
+    double fetching = 0;
+    int ordinary = 0;
+    int booting = 0;
+    for (Host host : hosts.values()) {
+      MachineType type = node.type(host.type);
+      if (type == null) {
+        continue;
+      }
+      ordinary += host.spot ? 0 : 1;
+      if (!host.up) {
+        booting++;
+        continue;
+      }
+      capacity += type.cpus();
+      used += host.usedCpus();
+      for (Placed task : host.placed.values()) {
+        if (task.live() && task.runningSince < 0 && task.range != null) {
+          fetching += task.range.record.cpus();
+        }
+      }
+    }
+    int waiting = 0;
+    for (OwnedRange range : ranges.values()) {
+      waiting += range.waiting();
+    }
+    LOG.info(
+        "master {}: {} machines ({} ordinary, {} booting), {} of {} CPUs taken, {} of them not"
+            + " running yet, {} tasks waiting, {} ranges",
+        name,
+        hosts.size(),
+        ordinary,
+        booting,
+        used,
+        capacity,
+        fetching,
+        waiting,
+        ranges.size());
+  }
+
   private void pass() {
     if (!running() || node.types().isEmpty()) {
       return;
@@ -826,6 +875,9 @@
       groups.remove(next);
       OwnedRange range = next.what().range();
       Host.Room room = choose(rooms, range, next.what());
+      if (room != null && !room.host.hasImage(range.spec.image()) && patient(next, groups, stuck)) {
+        room = null;
+      }
       if (room == null) {
         stuck.add(next);
         continue;
@@ -871,6 +923,40 @@
         && !faults.avoids(range, host);
   }
 
+  /**
+   * Whether a task does better to wait for a machine that has its image than to have it fetched by
+   * another: those that have it get through everything that waits for it before a fetch would end.
+   * Our exception to the paper, which leaves data locality open.
+   */
+  private boolean patient(
+      Falcon.Waiting<Group> one,
+      List<Falcon.Waiting<Group>> others,
+      List<Falcon.Waiting<Group>> stuck) {
+    JobSpec spec = one.what().range().spec;
+    double fetchS = 0;
+    double slots = 0;
+    for (Host host : hosts.values()) {
+      MachineType type = node.type(host.type);
+      if (type != null && mayStart(host) && !host.draining && host.hasImage(spec.image())) {
+        slots += Fleet.perMachine(type, spec);
+        fetchS = Math.max(fetchS, Fleet.fetchS(type, spec));
+      }
+    }
+    if (slots == 0) {
+      return false;
+    }
+    double waiting = one.count() * spec.estimateS();
+    for (List<Falcon.Waiting<Group>> list : List.of(others, stuck)) {
+      for (Falcon.Waiting<Group> other : list) {
+        JobSpec same = other.what().range().spec;
+        if (same.image().equals(spec.image())) {
+          waiting += other.count() * same.estimateS();
+        }
+      }
+    }
+    return waiting / slots < fetchS;
+  }
+
   /** The fitting machine with the least room left, of those that have the image if any has it. */
   private Host.Room choose(List<Host.Room> rooms, OwnedRange range, Group group) {
     JobSpec spec = range.spec;
