Close machines that are not needed and keep room for classes that hurry

Cause: after the flow of work ended, idle machines stayed for as long as a slowly fading average asked, ordinary ones too; and classes that are to start within some time found every machine full.

--- a/src/main/java/org/fieldtrestle/Main.java
+++ b/src/main/java/org/fieldtrestle/Main.java
@@ -52,7 +52,8 @@
     System.setProperty("org.slf4j.simpleLogger.showShortLogName", "true");
     // One event loop serves everything; more arenas and caches would only cost memory.
     System.setProperty("io.netty.allocator.type", "unpooled");
-    System.setProperty("io.netty.noUnsafe", "false");
+    // Or Netty looks through the network interfaces for a name of its own at every start.
+    System.setProperty("io.netty.machineId", "00:00:00:00:00:01");
     int code = new CommandLine(new Main()).execute(args);
     if (code != 0) {
       System.exit(code);
--- a/src/main/java/org/fieldtrestle/coordination/Fleet.java
+++ b/src/main/java/org/fieldtrestle/coordination/Fleet.java
@@ -37,6 +37,7 @@
   private double load;
   private double loadWeight;
   private long loadAt = -1;
+  private long calmSince;
 
   Fleet(Master master, Faults faults) {
     this.master = master;
@@ -66,6 +67,7 @@
     for (Host host : master.hosts.values()) {
       judge(host, now);
     }
+    close(now);
     giveBack(now);
     rent(now);
   }
@@ -89,28 +91,73 @@
       drain(host, "silent for two leases");
       return;
     }
-    if (host.up
-        && host.resolved
-        && host.empty()
-        && now - host.idleSince > idleMs(type)
-        && master.ranges.values().stream().noneMatch(r -> r.waiting() > 0 && !r.ended)
-        && spare(type)) {
-      drain(host, "idle");
+    long idleMs = idleMs(host, type) * (waiting() ? 4 : 1);
+    if (host.up && host.resolved && host.empty() && now - host.idleSince > idleMs) {
+      drain(host, host.closing ? "not needed" : "idle");
     }
   }
 
-  private static long idleMs(MachineType type) {
-    return Math.round(type.bootS() * 600);
+  private boolean waiting() {
+    for (OwnedRange range : master.ranges.values()) {
+      if (!range.ended && range.waiting() > 0) {
+        return true;
+      }
+    }
+    return false;
   }
 
-  private boolean spare(MachineType type) {
-    int machines = 0;
+  /** A cheap machine is kept for a while where the usual flow of work will want it again. */
+  private long idleMs(Host host, MachineType type) {
+    if (host.closing) {
+      return node.reportMs(1);
+    }
+    int cheap = 0;
+    for (Host other : master.hosts.values()) {
+      cheap += other.spot && !other.draining ? 1 : 0;
+    }
+    boolean wanted = host.spot && cheap <= target();
+    return Math.round(type.bootS() * (wanted ? 2000 : 500));
+  }
+
+  /**
+   * Closes machines whose room is not needed: they take nothing new and go when they are empty. The
+   * dearest go first, of these the least used. They open again as soon as anything waits.
+   */
+  private void close(long now) {
+    boolean waiting = waiting();
+    List<Host> open = new ArrayList<>();
+    double surplus = -master.reserve();
     for (Host host : master.hosts.values()) {
-      if (!host.draining) {
-        machines++;
+      if (waiting) {
+        host.closing = false;
+      }
+      MachineType type = node.type(host.type);
+      if (type != null && host.up && !host.closing && master.usable(host, now)) {
+        open.add(host);
+        surplus += type.cpus() - host.usedCpus();
+      }
+    }
+    if (waiting || open.size() < 2) {
+      calmSince = now;
+      return;
+    }
+    // Room that is free for a moment only is wanted again before another machine could boot.
+    if (now - calmSince < master.node.types().get(0).bootS() * 500) {
+      return;
+    }
+    open.sort(Comparator.comparing((Host host) -> host.spot).thenComparingDouble(Host::usedCpus));
+    for (Host host : open) {
+      MachineType type = node.type(host.type);
+      double free = type.cpus() - host.usedCpus();
+      if (surplus - free < type.cpus() * (host.spot ? 0.75 : 0.25)) {
+        return;
+      }
+      if (host.spot && open.size() <= target()) {
+        return;
       }
+      host.closing = true;
+      surplus -= free;
     }
-    return machines - 1 >= Math.ceil(target());
   }
 
   private boolean silent(Host host, long now) {
--- a/src/main/java/org/fieldtrestle/coordination/Host.java
+++ b/src/main/java/org/fieldtrestle/coordination/Host.java
@@ -50,6 +50,10 @@
   final long since;
   long noticeUntil = -1;
   boolean draining;
+
+  /** Takes nothing new for as long as nothing waits. */
+  boolean closing;
+
   boolean returning;
   String drainReason = "";
   long idleSince;
--- a/src/main/java/org/fieldtrestle/coordination/Master.java
+++ b/src/main/java/org/fieldtrestle/coordination/Master.java
@@ -75,6 +75,7 @@
   private boolean passDue;
   private long lastEviction;
   private long reportedAt;
+  private double urgentCpus;
 
   public Master(Node node, String name, long epoch, boolean othersMayAct) {
     super(node.reactor());
@@ -197,6 +198,9 @@
       host.resolved = kept.version() > epoch || !record.up();
       hosts.put(id, host);
     }
+    if (!host.up && record.up()) {
+      host.idleSince = node.now();
+    }
     host.up = record.up();
     if (host.up) {
       host.markingUp = false;
@@ -556,6 +560,10 @@
       range = new OwnedRange(key, kept.record(), kept.version(), inherited, node.now() - age);
       ranges.put(key, range);
       refreshJob(range);
+      if (job != null && range.spec != null && node.hurried(range.spec) && key.index() == 0) {
+        double cpus = range.spec.cpus() * range.spec.tasks();
+        urgentCpus = urgentCpus == 0 ? cpus : urgentCpus * 0.8 + cpus * 0.2;
+      }
       fleet.arrived(range);
       return;
     }
@@ -874,7 +882,7 @@
       Falcon.Waiting<Group> next = falcon.next(groups);
       groups.remove(next);
       OwnedRange range = next.what().range();
-      Host.Room room = choose(rooms, range, next.what());
+      Host.Room room = kept(range.spec, rooms) ? null : choose(rooms, range, next.what());
       if (room != null && !room.host.hasImage(range.spec.image()) && patient(next, groups, stuck)) {
         room = null;
       }
@@ -894,6 +902,26 @@
     Stats.record(node.stats().passMs, node.now() - now);
   }
 
+  /**
+   * CPUs kept free of tasks that may wait, for classes that are to start within some time: as much
+   * as one of their jobs usually takes, in all masters together.
+   */
+  double reserve() {
+    return urgentCpus * node.tuning().reserve() / (node.settings().peers().size() + 1);
+  }
+
+  private boolean kept(JobSpec spec, List<Host.Room> rooms) {
+    double reserve = reserve();
+    if (reserve <= 0 || node.hurried(spec)) {
+      return false;
+    }
+    double free = 0;
+    for (Host.Room room : rooms) {
+      free += room.cpus();
+    }
+    return free - spec.cpus() < reserve;
+  }
+
   /** The free amounts of all machines that may be given tasks. */
   private List<Host.Room> rooms(long now) {
     List<Host.Room> rooms = new ArrayList<>();
@@ -973,7 +1001,9 @@
       }
       boolean has = room.host.hasImage(spec.image());
       double left = room.after(spec);
-      if (best == null || (has && !bestHas) || (has == bestHas && left < bestLeft)) {
+      if (best == null
+          || (has && !bestHas)
+          || (has == bestHas && closer(room.host, left, best.host, bestLeft))) {
         best = room;
         bestHas = has;
         bestLeft = left;
@@ -982,6 +1012,14 @@
     return best;
   }
 
+  /** Cheap machines before ordinary ones (our exception, for the price), then the most matched. */
+  private static boolean closer(Host host, double left, Host best, double bestLeft) {
+    if (host.closing != best.closing) {
+      return best.closing;
+    }
+    return host.spot != best.spot ? host.spot : left < bestLeft;
+  }
+
   private void place(OwnedRange range, int offset, Host host, long now) {
     OwnedRange.Retry retry = range.retries.get(offset);
     long since = retry == null ? range.waitingSince : retry.waitingSince;
--- a/src/main/java/org/fieldtrestle/coordination/Node.java
+++ b/src/main/java/org/fieldtrestle/coordination/Node.java
@@ -46,6 +46,16 @@
     return membership.acting();
   }
 
+  /** Whether tasks of the job's class are to start within some time. */
+  boolean hurried(JobSpec spec) {
+    for (Settings.Objective aim : settings.objectives()) {
+      if (aim.kind().equals("wait") && aim.jobClass().equals(spec.jobClass())) {
+        return true;
+      }
+    }
+    return false;
+  }
+
   /** A class that is to start within some time may evict after half of it, if that is sooner. */
   double evictWaitS(JobSpec spec) {
     double wait = tuning.evictWaitS();
--- a/src/main/java/org/fieldtrestle/coordination/Tuning.java
+++ b/src/main/java/org/fieldtrestle/coordination/Tuning.java
@@ -11,6 +11,7 @@
  * @param margin how much a victim's score has to be exceeded by
  * @param evictWaitS wait without free room before a task may evict
  * @param victimShare a victim may have run at most this share of its estimate
+ * @param reserve room kept for classes that are to start within some time, in jobs of their size
  */
 public record Tuning(
     double remainingWeight,
@@ -19,6 +20,7 @@
     double delta,
     double margin,
     double evictWaitS,
-    double victimShare) {
-  public static final Tuning DEFAULT = new Tuning(0.5, 0.5, 1, 0.35, 0.5, 10, 0.3);
+    double victimShare,
+    double reserve) {
+  public static final Tuning DEFAULT = new Tuning(0.5, 0.5, 1, 0.35, 0.5, 10, 0.3, 1);
 }
