Reserve in proportion to machines; classes that hurry do not wait for images

Cause: a master with 3 of 44 machines kept as much room free as one with 20. Ruled out: too small a reserve, since waits were longest on the large masters only while images were fetched.

--- a/src/main/java/org/fieldtrestle/coordination/Host.java
+++ b/src/main/java/org/fieldtrestle/coordination/Host.java
@@ -97,6 +97,16 @@
     return !directBusy && seenToken >= fence;
   }
 
+  /** A task on it still waits for its image. */
+  boolean fetching() {
+    for (Placed task : placed.values()) {
+      if (task.state == Placed.State.STARTING || task.state == Placed.State.FETCHING) {
+        return true;
+      }
+    }
+    return false;
+  }
+
   boolean empty() {
     for (Placed task : placed.values()) {
       if (task.live()) {
--- a/src/main/java/org/fieldtrestle/coordination/Loads.java
+++ b/src/main/java/org/fieldtrestle/coordination/Loads.java
@@ -87,6 +87,17 @@
     return (int) Math.max(0, Math.floor(most));
   }
 
+  /** The CPUs of all masters' machines but one's. */
+  double capacityOfOthers(String except) {
+    double sum = 0;
+    for (Map.Entry<String, Known> entry : known.entrySet()) {
+      if (!entry.getKey().equals(except) && fresh(entry.getValue())) {
+        sum += entry.getValue().load.capacityCpus();
+      }
+    }
+    return sum;
+  }
+
   /** The fresh master other than this one where least waits for its CPUs; null if there is none. */
   Split.Candidate leastLoaded(JobSpec spec, String zone, String except) {
     Split.Candidate best = null;
--- a/src/main/java/org/fieldtrestle/coordination/Master.java
+++ b/src/main/java/org/fieldtrestle/coordination/Master.java
@@ -907,14 +907,16 @@
    * as one of their jobs usually takes, in all masters together.
    */
   double reserve() {
-    return urgentCpus * node.tuning().reserve() / (node.settings().peers().size() + 1);
+    double mine = capacity();
+    double part = mine / Math.max(1, mine + node.loads().capacityOfOthers(name));
+    return urgentCpus * node.tuning().reserve() * part;
   }
 
   private boolean kept(JobSpec spec, List<Host.Room> rooms) {
-    double reserve = reserve();
-    if (reserve <= 0 || node.hurried(spec)) {
+    if (urgentCpus == 0 || node.hurried(spec)) {
       return false;
     }
+    double reserve = reserve();
     double free = 0;
     for (Host.Room room : rooms) {
       free += room.cpus();
@@ -961,6 +963,9 @@
       List<Falcon.Waiting<Group>> others,
       List<Falcon.Waiting<Group>> stuck) {
     JobSpec spec = one.what().range().spec;
+    if (node.hurried(spec)) {
+      return false;
+    }
     double fetchS = 0;
     double slots = 0;
     for (Host host : hosts.values()) {
@@ -1003,7 +1008,7 @@
       double left = room.after(spec);
       if (best == null
           || (has && !bestHas)
-          || (has == bestHas && closer(room.host, left, best.host, bestLeft))) {
+          || (has == bestHas && closer(room, left, best, bestLeft, has))) {
         best = room;
         bestHas = has;
         bestLeft = left;
@@ -1012,12 +1017,19 @@
     return best;
   }
 
-  /** Cheap machines before ordinary ones (our exception, for the price), then the most matched. */
-  private static boolean closer(Host host, double left, Host best, double bestLeft) {
-    if (host.closing != best.closing) {
-      return best.closing;
+  /**
+   * Cheap machines before ordinary ones (our exception, for the price), then the most matched. One
+   * that has to fetch the image had better not be fetching others, which share its line.
+   */
+  private static boolean closer(
+      Host.Room room, double left, Host.Room best, double bestLeft, boolean hasImage) {
+    if (room.host.closing != best.host.closing) {
+      return best.host.closing;
     }
-    return host.spot != best.spot ? host.spot : left < bestLeft;
+    if (!hasImage && room.host.fetching() != best.host.fetching()) {
+      return best.host.fetching();
+    }
+    return room.host.spot != best.host.spot ? room.host.spot : left < bestLeft;
   }
 
   private void place(OwnedRange range, int offset, Host host, long now) {
@@ -1210,6 +1222,17 @@
     }
     List<PeerWire.Room> all = new ArrayList<>();
     rooms.forEach((zone, r) -> all.add(new PeerWire.Room(zone, r[0], r[1], r[2])));
+    double waiting = 0;
+    for (OwnedRange range : ranges.values()) {
+      if (!range.ended) {
+        waiting += range.waiting() * range.record.cpus();
+      }
+    }
+    return new PeerWire.Load(node.membership().self(), name, epoch, waiting, capacity(), all);
+  }
+
+  /** CPUs of all machines that are or will be of use. */
+  private double capacity() {
     double capacity = 0;
     for (Host host : hosts.values()) {
       MachineType type = node.type(host.type);
@@ -1217,13 +1240,7 @@
         capacity += type.cpus();
       }
     }
-    double waiting = 0;
-    for (OwnedRange range : ranges.values()) {
-      if (!range.ended) {
-        waiting += range.waiting() * range.record.cpus();
-      }
-    }
-    return new PeerWire.Load(node.membership().self(), name, epoch, waiting, capacity, all);
+    return capacity;
   }
 
   boolean isActive() {
