Generated histories against stand-ins for state service, cloud and workers

The real controllers run in simulated time amid crashes, outages, cuts, hangs, late and lost messages; every rule of the protocol is judged.

--- /dev/null
+++ b/src/test/java/org/fieldtrestle/rehearsal/HistoriesTest.java
@@ -0,0 +1,140 @@
+package org.fieldtrestle.rehearsal;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.SplittableRandom;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.ShrinkingMode;
+
+/** Generated histories with the faults that the protocol describes; no rule may be broken. */
+class HistoriesTest {
+  private static List<Scene.Job> submitSome(Scene scene, int count, long overMs) {
+    List<Scene.Job> jobs = new ArrayList<>();
+    for (int i = 0; i < count; i++) {
+      int number = i;
+      scene.world.after(
+          scene.world.between(0, overMs),
+          () ->
+              jobs.add(
+                  scene.submit(
+                      "job-" + number,
+                      job -> {
+                        World world = scene.world;
+                        job.tasks = (int) world.between(1, 12);
+                        job.cpus = world.chance(0.5) ? 4 : 8;
+                        job.image = "img-" + world.between(0, 3);
+                        job.runMs = world.chance(0.4) ? 2000 : world.between(4000, 25_000);
+                        job.team = world.chance(0.4) ? "limited" : "open";
+                        job.spot = world.chance(0.7);
+                        job.type = world.chance(0.2) ? "odd" : null;
+                        job.zone = world.chance(0.2) ? "b" : null;
+                        job.oneZone = world.chance(0.2);
+                        job.spread = !job.oneZone && job.zone == null && world.chance(0.2);
+                      })));
+    }
+    return jobs;
+  }
+
+  @Property(tries = 6, seed = "4711", shrinking = ShrinkingMode.OFF)
+  void aQuietDayEndsEveryJob(@ForAll long seed) {
+    Scene scene = new Scene(new SplittableRandom(seed), 12);
+    submitSome(scene, 15, 60_000);
+    scene.world.runUntil(400_000);
+    assertEquals(List.of(), scene.rules.broken);
+    assertEquals(15, scene.rules.done, "jobs done");
+  }
+
+  @Property(tries = 14, seed = "815", shrinking = ShrinkingMode.OFF)
+  void noRuleIsBrokenByAnyMixOfTroubles(@ForAll long seed) {
+    Scene scene = new Scene(new SplittableRandom(seed), 12);
+    World world = scene.world;
+    scene.net.late = 0.01;
+    scene.net.lost = 0.01;
+    scene.cloud.neverBoots = 0.1;
+    List<Scene.Job> jobs = submitSome(scene, 18, 150_000);
+    for (int i = 0; i < 9; i++) {
+      world.after(world.between(10_000, 200_000), () -> trouble(scene, jobs));
+    }
+    for (int i = 0; i < 4; i++) {
+      world.after(
+          world.between(20_000, 180_000),
+          () -> {
+            if (!jobs.isEmpty()) {
+              scene.cancel(jobs.get((int) world.between(0, jobs.size() - 1)));
+            }
+          });
+      world.after(world.between(20_000, 180_000), () -> scene.ask("job-999999"));
+    }
+    world.after(
+        230_000,
+        () -> {
+          scene.net.late = 0;
+          scene.net.lost = 0;
+        });
+    world.runUntil(700_000);
+    assertEquals(List.of(), scene.rules.broken);
+    assertTrue(scene.rules.starts > 0, "something ran");
+    for (Scene.Job job : jobs) {
+      String last = scene.rules.lastOf(job.id);
+      assertTrue(
+          "done".equals(last) || scene.cancelledByUser.contains(job.id),
+          job.id + " is " + last + " long after all troubles");
+    }
+  }
+
+  private static void trouble(Scene scene, List<Scene.Job> jobs) {
+    World world = scene.world;
+    List<WorkerStandIn> machines = List.copyOf(scene.cloud.machines.values());
+    WorkerStandIn machine =
+        machines.isEmpty() ? null : machines.get((int) world.between(0, machines.size() - 1));
+    String label = scene.labels().get((int) world.between(0, 2));
+    switch ((int) world.between(0, 9)) {
+      case 0 -> {
+        scene.trouble(10_000);
+        scene.kill(label, world.between(3000, 8000));
+      }
+      case 1 -> {
+        scene.trouble(10_000);
+        scene.labels().forEach(one -> scene.kill(one, world.between(3000, 8000)));
+      }
+      case 2 -> {
+        scene.trouble(60_000);
+        scene.kill(label, world.between(40_000, 60_000));
+      }
+      case 3 -> {
+        scene.trouble(10_000);
+        scene.kill(label, world.between(50, 300));
+      }
+      case 4 -> {
+        long ms = world.between(5000, 40_000);
+        scene.trouble(ms);
+        scene.state.outage(ms);
+      }
+      case 5 -> {
+        long ms = world.between(5000, 40_000);
+        scene.trouble(ms);
+        scene.net.cut("a", "b", ms);
+      }
+      case 6 -> {
+        if (machine != null) {
+          machine.hang(world.between(5000, 40_000));
+        }
+      }
+      case 7 -> {
+        if (machine != null) {
+          machine.die();
+        }
+      }
+      case 8 -> scene.state.compact();
+      default -> {
+        if (machine != null) {
+          machine.failsTasks = true;
+        }
+      }
+    }
+  }
+}
--- /dev/null
+++ b/src/test/java/org/fieldtrestle/rehearsal/Net.java
@@ -0,0 +1,122 @@
+package org.fieldtrestle.rehearsal;
+
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.Map;
+import java.util.function.BooleanSupplier;
+import java.util.function.Consumer;
+import org.fieldtrestle.transport.Http;
+
+/** A network that delays, loses, holds and cuts, as the protocol says of the real one. */
+final class Net {
+  private final World world;
+  private final Map<String, Http.Handler> servers = new HashMap<>();
+  private final Map<String, String> zones = new HashMap<>();
+  private final Map<String, Long> cutUntil = new HashMap<>();
+
+  /** Share of requests that arrive only long after their sender has given up. */
+  double late;
+
+  /** Share of answers that are lost. */
+  double lost;
+
+  Net(World world) {
+    this.world = world;
+  }
+
+  void serve(String address, String zone, Http.Handler handler) {
+    servers.put(address, handler);
+    zones.put(address, zone);
+  }
+
+  void stop(String address) {
+    servers.remove(address);
+  }
+
+  void cut(String zone, String other, long forMs) {
+    cutUntil.put(zone + "|" + other, world.now() + forMs);
+    cutUntil.put(other + "|" + zone, world.now() + forMs);
+  }
+
+  private long cutFor(String fromZone, String address) {
+    String to = zones.getOrDefault(address, "");
+    return Math.max(0, cutUntil.getOrDefault(fromZone + "|" + to, 0L) - world.now());
+  }
+
+  /** A call whose caller may die meanwhile. */
+  void call(
+      String fromZone,
+      BooleanSupplier alive,
+      String address,
+      String method,
+      String path,
+      byte[] body,
+      long timeoutMs,
+      Consumer<Http.Outcome> done) {
+    boolean[] over = {false};
+    Consumer<Http.Outcome> once =
+        outcome -> {
+          if (!over[0]) {
+            over[0] = true;
+            done.accept(outcome);
+          }
+        };
+    long cut = cutFor(fromZone, address);
+    if (cut > 0) {
+      if (world.chance(0.5)) { // on an open connection: held, and delivered once the cut is over
+        world.after(
+            cut + world.between(1, 200), () -> deliver(address, method, path, body, r -> {}));
+        world.after(timeoutMs, alive, () -> once.accept(new Http.Unknown("timeout")));
+      } else {
+        world.after(timeoutMs, alive, () -> once.accept(new Http.NotSent("timeout")));
+      }
+      return;
+    }
+    if (!servers.containsKey(address)) {
+      world.after(1, alive, () -> once.accept(new Http.NotSent("refused")));
+      return;
+    }
+    world.after(timeoutMs, alive, () -> once.accept(new Http.Unknown("timeout")));
+    if (world.chance(late)) {
+      world.after(
+          world.between(timeoutMs, timeoutMs * 10),
+          () -> deliver(address, method, path, body, r -> {}));
+      return;
+    }
+    boolean answerLost = world.chance(lost);
+    world.after(
+        world.between(1, 6),
+        () ->
+            deliver(
+                address,
+                method,
+                path,
+                body,
+                response -> {
+                  if (!answerLost && cutFor(fromZone, address) == 0) {
+                    world.after(
+                        world.between(1, 6),
+                        alive,
+                        () -> once.accept(new Http.Answer(response.status(), response.body())));
+                  }
+                }));
+  }
+
+  private void deliver(
+      String address, String method, String path, byte[] body, Consumer<Http.Response> reply) {
+    Http.Handler server = servers.get(address);
+    if (server == null) {
+      return;
+    }
+    int mark = path.indexOf('?');
+    Map<String, String> query = new LinkedHashMap<>();
+    if (mark >= 0) {
+      for (String pair : path.substring(mark + 1).split("&")) {
+        int equals = pair.indexOf('=');
+        query.put(pair.substring(0, equals), pair.substring(equals + 1));
+      }
+    }
+    server.handle(
+        new Http.Request(method, mark < 0 ? path : path.substring(0, mark), query, body), reply);
+  }
+}
--- /dev/null
+++ b/src/test/java/org/fieldtrestle/rehearsal/Rules.java
@@ -0,0 +1,146 @@
+package org.fieldtrestle.rehearsal;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+
+/** Judges a history by the rules of the protocol. */
+final class Rules {
+  private final World world;
+  private final Scene scene;
+  final List<String> broken = new ArrayList<>();
+  private final Map<String, Set<String>> on = new HashMap<>();
+  private final Map<String, String> last = new HashMap<>();
+  private final Map<String, Long> toldCancelled = new HashMap<>();
+  private final Set<String> accepted = new HashSet<>();
+  private final Map<String, Long> failingSince = new HashMap<>();
+  int starts;
+  int done;
+
+  Rules(World world, Scene scene) {
+    this.world = world;
+    this.scene = scene;
+  }
+
+  private void breaks(String rule, String what) {
+    broken.add(rule + " at " + world.now() + " ms: " + what);
+  }
+
+  private static String jobOf(String task) {
+    return task.substring(0, task.lastIndexOf('/'));
+  }
+
+  void started(String task, WorkerStandIn machine) {
+    starts++;
+    Set<String> places = on.computeIfAbsent(task, t -> new HashSet<>());
+    if (!places.isEmpty()) {
+      breaks("ran_twice", task + " starts on " + machine.id + " while on " + places);
+    }
+    places.add(machine.id);
+    Scene.Job job = scene.jobs.get(jobOf(task));
+    if (job.type != null && !job.type.equals(machine.type)
+        || job.zone != null && !job.zone.equals(machine.zone)
+        || !job.spot && machine.spot) {
+      breaks("wrong_place", task + " starts on " + machine.id);
+    }
+    Map<String, Integer> zones = new HashMap<>();
+    double used = 0;
+    for (Map.Entry<String, Set<String>> one : on.entrySet()) {
+      Scene.Job other = scene.jobs.get(jobOf(one.getKey()));
+      for (String place : one.getValue()) {
+        if (other.team.equals(job.team)) {
+          used += other.cpus;
+        }
+        if (other == job) {
+          zones.merge(scene.zoneOf(place), 1, Integer::sum);
+        }
+      }
+    }
+    if (used > scene.limit(job.team) + 1e-6) {
+      breaks("quota", job.team + " uses " + used);
+    }
+    if (job.oneZone && zones.size() > 1) {
+      breaks("wrong_place", task + " is in a second zone: " + zones);
+    }
+    if (job.spread && zones.values().stream().anyMatch(n -> n > (job.tasks + 1) / 2)) {
+      breaks("wrong_place", task + " is one too many in its zone: " + zones);
+    }
+    checkCancelled(task);
+  }
+
+  private void checkCancelled(String task) {
+    Long told = toldCancelled.get(jobOf(task));
+    if (told != null && world.now() - told > scene.cancelMs) {
+      breaks("ran_cancelled", task + " " + (world.now() - told) + " ms after");
+    }
+  }
+
+  void left(String task, String machine) {
+    checkCancelled(task);
+    on.getOrDefault(task, new HashSet<>()).remove(machine);
+  }
+
+  /** Looks for tasks of cancelled jobs that never leave. */
+  void sweep() {
+    on.forEach(
+        (task, places) -> {
+          if (!places.isEmpty()) {
+            checkCancelled(task);
+          }
+        });
+  }
+
+  void accepted(String job) {
+    accepted.add(job);
+  }
+
+  void told(String job, int status, String stage) {
+    if (status == 404) {
+      if (accepted.contains(job)) {
+        breaks("forgotten", job);
+      }
+      return;
+    }
+    if (status != 200) {
+      if (accepted.contains(job)) {
+        long since = failingSince.computeIfAbsent(job, j -> world.now());
+        if (world.now() - since > 90_000 && scene.calmFor(60_000)) {
+          breaks("forgotten", job + " cannot be asked about for " + (world.now() - since));
+        }
+      }
+      return;
+    }
+    failingSince.remove(job);
+    if (!scene.jobs.containsKey(job)) {
+      breaks("invented", job);
+      return;
+    }
+    accepted.add(job);
+    String before = last.get(job);
+    if (("done".equals(before) || "cancelled".equals(before)) && !before.equals(stage)) {
+      breaks("went_back", job + " was " + before + " and is " + stage);
+    }
+    if (stage.equals("cancelled")) {
+      if (!scene.cancelledByUser.contains(job)) {
+        breaks("went_back", job + " is cancelled, but nobody asked for that");
+      }
+      toldCancelled.putIfAbsent(job, world.now());
+    }
+    if (stage.equals("done") && !"done".equals(before)) {
+      done++;
+      for (int i = 0; i < scene.jobs.get(job).tasks; i++) {
+        if (!scene.results.contains(job + "/" + i)) {
+          breaks("not_done", job + "/" + i);
+        }
+      }
+    }
+    last.put(job, stage);
+  }
+
+  String lastOf(String job) {
+    return last.get(job);
+  }
+}
--- /dev/null
+++ b/src/test/java/org/fieldtrestle/rehearsal/Scene.java
@@ -0,0 +1,316 @@
+package org.fieldtrestle.rehearsal;
+
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.nio.ByteBuffer;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.random.RandomGenerator;
+import org.fieldtrestle.coordination.Controller;
+import org.fieldtrestle.coordination.Tuning;
+import org.fieldtrestle.protocol.Json;
+import org.fieldtrestle.protocol.Settings;
+import org.fieldtrestle.transport.Http;
+import org.fieldtrestle.transport.Reactor;
+
+/** Three controllers of the real code amid stand-ins for all else, with users and troubles. */
+final class Scene {
+  static final String STATE = "10.2.0.1:2379";
+  static final String CLOUD = "10.2.0.2:8443";
+
+  /** What the workers and the rules know of a job. */
+  static final class Job {
+    String id;
+    String team;
+    int tasks;
+    double cpus;
+    String image;
+    long runMs;
+    String type;
+    String zone;
+    boolean oneZone;
+    boolean spread;
+    boolean spot;
+    boolean broken;
+    byte[] body;
+  }
+
+  private static final class Process {
+    boolean alive = true;
+    Controller controller;
+  }
+
+  final World world;
+  final Net net;
+  final StateStandIn state;
+  final CloudStandIn cloud;
+  final Rules rules;
+  final Map<String, Job> jobs = new HashMap<>();
+  final Set<String> cancelledByUser = new HashSet<>();
+  final Set<String> results = new HashSet<>();
+  final long reportMs = 2500;
+  final long leaseMs = 16_000;
+  final long cancelMs = 46_000;
+  private final Map<String, Process> processes = new HashMap<>();
+  private final Map<String, String> zoneOf = new HashMap<>();
+  private long calmSince;
+
+  Scene(RandomGenerator random, int capacity) {
+    world = new World(random);
+    net = new Net(world);
+    state = new StateStandIn(world);
+    rules = new Rules(world, this);
+    cloud = new CloudStandIn(world, this, capacity);
+    net.serve(STATE, "regional", state);
+    net.serve(CLOUD, "regional", cloud);
+    labels().forEach(this::start);
+    sweep();
+  }
+
+  private void sweep() {
+    rules.sweep();
+    cloud.machines.values().forEach(m -> zoneOf.put(m.id, m.zone));
+    world.after(500, this::sweep);
+  }
+
+  List<String> labels() {
+    return List.of("trestle-0", "trestle-1", "trestle-2");
+  }
+
+  String address(String label) {
+    return "10.0.0." + label.charAt(label.length() - 1) + ":8080";
+  }
+
+  private static String peerAddress(String label) {
+    return "10.0.0." + label.charAt(label.length() - 1) + ":8081";
+  }
+
+  private static String zone(String label) {
+    return label.endsWith("1") ? "b" : "a";
+  }
+
+  String zoneOf(String machine) {
+    WorkerStandIn worker = cloud.machines.get(machine);
+    return worker == null ? zoneOf.getOrDefault(machine, "?") : worker.zone;
+  }
+
+  double limit(String team) {
+    return team.equals("limited") ? 40 : Double.MAX_VALUE;
+  }
+
+  static Settings settings(String label) {
+    List<Settings.Peer> peers = new ArrayList<>();
+    for (String other : List.of("trestle-0", "trestle-1", "trestle-2")) {
+      if (!other.equals(label)) {
+        peers.add(new Settings.Peer(other, zone(other), peerAddress(other)));
+      }
+    }
+    return new Settings(
+        label,
+        zone(label),
+        "0.0.0.0:1",
+        peerAddress(label),
+        peers,
+        CLOUD,
+        STATE,
+        List.of("a", "b"),
+        100,
+        List.of(new Settings.Team("limited", 16, 40, 0, 0), new Settings.Team("open", 16, 0, 0, 0)),
+        List.of(new Settings.Objective("wait", "rush", 0.9, 1, 5)),
+        new Settings.Workers(2.5, 16, 46),
+        new Settings.State(200, 40, 8, 32),
+        new Settings.Cloud(3, 6),
+        new Settings.Limits(0.2, 263, 1800));
+  }
+
+  void start(String label) {
+    Process process = new Process();
+    processes.put(label, process);
+    Reactor reactor =
+        world.process(
+            () -> process.alive, world.random.nextDouble() * 0.0005, world.between(-100, 100));
+    Http.Caller caller =
+        (address, method, path, body, timeoutMs, done) ->
+            net.call(
+                zone(label), () -> process.alive, address, method, path, body, timeoutMs, done);
+    process.controller =
+        new Controller(
+            settings(label),
+            Tuning.DEFAULT,
+            reactor,
+            world.random,
+            caller,
+            (address, frame) -> peerFrame(address, frame));
+    net.serve(address(label), zone(label), process.controller);
+    reactor.execute(process.controller::start);
+  }
+
+  private void peerFrame(String address, ByteBuffer frame) {
+    ByteBuffer body = frame.duplicate();
+    body.position(4);
+    byte[] bytes = new byte[body.remaining()];
+    body.get(bytes);
+    String label = "trestle-" + address.charAt(address.indexOf(':') - 1);
+    Process to = processes.get(label);
+    int copies = world.chance(0.05) ? 2 : 1; // repeated and late frames happen
+    for (int i = 0; i < copies; i++) {
+      world.after(
+          world.chance(0.05) ? world.between(500, 60_000) : world.between(1, 5),
+          () -> to.alive,
+          () -> to.controller.frame(ByteBuffer.wrap(bytes)));
+    }
+  }
+
+  void kill(String label, long backAfterMs) {
+    Process process = processes.get(label);
+    if (!process.alive) {
+      return;
+    }
+    process.alive = false;
+    net.stop(address(label));
+    world.after(backAfterMs, () -> start(label));
+  }
+
+  /** Notes that something is being done to the service. */
+  void trouble(long forMs) {
+    calmSince = Math.max(calmSince, world.now() + forMs);
+  }
+
+  boolean calmFor(long ms) {
+    return world.now() - calmSince > ms;
+  }
+
+  // ---- users
+
+  Job submit(String id, java.util.function.Consumer<Job> shape) {
+    Job job = new Job();
+    job.id = id;
+    job.team = "open";
+    job.tasks = 1;
+    job.cpus = 4;
+    job.image = "img";
+    job.runMs = 5000;
+    job.spot = true;
+    shape.accept(job);
+    ObjectNode body =
+        Json.object()
+            .put("uid", id)
+            .put("lot", job.runMs < 3000 ? "rush" : "batch")
+            .put("crew", job.team)
+            .put("cut", "array")
+            .put("urgency", job.runMs < 3000 ? "urgent" : "normal")
+            .put("boards", job.tasks)
+            .put("cpus", job.cpus)
+            .put("gpus", 0.0)
+            .put("memoryGb", 1.0)
+            .put("blueprint", job.image)
+            .put("pullGb", 1.0)
+            .put("yard", job.zone)
+            .put("together", job.oneZone)
+            .put("scatter", job.spread)
+            .put("loaners", job.spot)
+            .put("expectedS", job.runMs / 1000.0)
+            .put("tallyS", 0.0)
+            .put("stackS", 0.0)
+            .put("dueS", 200.0);
+    if (job.type != null) {
+      body.putArray("rigs").add(job.type);
+    }
+    job.body = Json.bytes(body);
+    jobs.put(id, job);
+    post(job, 0);
+    return job;
+  }
+
+  private void call(
+      String method,
+      String path,
+      byte[] body,
+      long timeoutMs,
+      java.util.function.Consumer<Http.Answer> done) {
+    String label = labels().get((int) world.between(0, 2));
+    net.call(
+        "regional",
+        () -> true,
+        address(label),
+        method,
+        path,
+        body,
+        timeoutMs,
+        outcome ->
+            done.accept(
+                outcome instanceof Http.Answer answer ? answer : new Http.Answer(0, new byte[0])));
+  }
+
+  private void post(Job job, int tries) {
+    call(
+        "POST",
+        "/v2/runs",
+        job.body,
+        5000,
+        answer -> {
+          if (answer.status() == 200 || answer.status() == 201) {
+            rules.accepted(job.id);
+            poll(job);
+            if (tries > 0 || world.chance(0.2)) {
+              world.after(world.between(1000, 60_000), () -> again(job));
+            }
+          } else if (answer.status() == 400 || answer.status() == 422) {
+            rules.broken.add("refused " + job.id + " with " + answer.status());
+          } else if (tries < 120) {
+            world.after(1000, () -> post(job, tries + 1));
+          }
+        });
+  }
+
+  /** A retry that arrives at any later time. */
+  private void again(Job job) {
+    call(
+        "POST",
+        "/v2/runs",
+        job.body,
+        5000,
+        answer -> {
+          if (answer.status() == 400 || answer.status() == 422 || answer.status() == 201) {
+            rules.broken.add("forgotten: repeated " + job.id + " gets " + answer.status());
+          } else if (answer.status() == 200) {
+            rules.told(job.id, 200, Json.parseOrEmpty(answer.body()).path("stage").asText());
+          }
+        });
+  }
+
+  private void poll(Job job) {
+    ask(job.id);
+    world.after(world.between(3000, 6000), () -> poll(job));
+  }
+
+  void ask(String id) {
+    call(
+        "GET",
+        "/v2/runs/" + id,
+        new byte[0],
+        2000,
+        answer ->
+            rules.told(
+                id, answer.status(), Json.parseOrEmpty(answer.body()).path("stage").asText()));
+  }
+
+  void cancel(Job job) {
+    cancelledByUser.add(job.id);
+    call(
+        "POST",
+        "/v2/runs/" + job.id + "/abort",
+        new byte[0],
+        5000,
+        answer -> {
+          if (answer.status() == 200) {
+            rules.told(job.id, 200, Json.parseOrEmpty(answer.body()).path("stage").asText());
+          } else {
+            world.after(1000, () -> cancel(job));
+          }
+        });
+  }
+}
--- /dev/null
+++ b/src/test/java/org/fieldtrestle/rehearsal/StateStandIn.java
@@ -0,0 +1,252 @@
+package org.fieldtrestle.rehearsal;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import java.util.function.Consumer;
+import org.fieldtrestle.protocol.Json;
+import org.fieldtrestle.transport.Http;
+
+/** A stand-in for the state service, by its protocol. */
+final class StateStandIn implements Http.Handler {
+  private record Kept(JsonNode value, long version, long lease) {}
+
+  private record Event(String key, JsonNode value, long revision) {}
+
+  private record Watch(String prefix, long from, Consumer<Http.Response> reply, boolean[] over) {}
+
+  private final World world;
+  private final TreeMap<String, Kept> keys = new TreeMap<>();
+  private final List<Event> log = new ArrayList<>();
+  private final Map<Long, Long> leases = new HashMap<>();
+  private final Map<Long, Long> ttls = new HashMap<>();
+  private final List<Watch> watches = new ArrayList<>();
+  private long revision;
+  private long lastLease;
+  private long forgotten;
+  private long outageUntil;
+
+  StateStandIn(World world) {
+    this.world = world;
+    sweep();
+  }
+
+  void outage(long ms) {
+    outageUntil = world.now() + ms;
+    world.after(
+        ms,
+        () -> {
+          leases.replaceAll((id, until) -> world.now() + ttls.get(id));
+          wake();
+        });
+  }
+
+  /** Forgets old changes, so that watches from before have to read everything again. */
+  void compact() {
+    forgotten = revision;
+    log.clear();
+  }
+
+  void damage(String key, JsonNode value) {
+    write(key, value, 0, ++revision);
+    wake();
+  }
+
+  private boolean down() {
+    return world.now() < outageUntil;
+  }
+
+  private void sweep() {
+    world.after(
+        100,
+        () -> {
+          if (!down()) {
+            for (Map.Entry<Long, Long> lease : List.copyOf(leases.entrySet())) {
+              if (lease.getValue() < world.now()) {
+                end(lease.getKey());
+              }
+            }
+          }
+          sweep();
+        });
+  }
+
+  private void end(long lease) {
+    leases.remove(lease);
+    for (Map.Entry<String, Kept> key : List.copyOf(keys.entrySet())) {
+      if (key.getValue().lease() == lease) {
+        write(key.getKey(), null, 0, ++revision);
+      }
+    }
+    wake();
+  }
+
+  private void write(String key, JsonNode value, long lease, long at) {
+    if (value == null) {
+      if (keys.remove(key) == null) {
+        return;
+      }
+    } else {
+      keys.put(key, new Kept(value, at, lease));
+    }
+    log.add(new Event(key, value, at));
+  }
+
+  private static Http.Response answer(int status, JsonNode body) {
+    return new Http.Response(status, Json.bytes(body));
+  }
+
+  @Override
+  public void handle(Http.Request request, Consumer<Http.Response> reply) {
+    if (down()) {
+      reply.accept(answer(503, Json.object()));
+      return;
+    }
+    JsonNode body = Json.parseOrEmpty(request.body());
+    String path = request.path();
+    if (path.equals("/commit")) {
+      reply.accept(commit(body));
+    } else if (path.equals("/leases")) {
+      leases.put(++lastLease, world.now() + body.path("lifeMs").asLong());
+      ttls.put(lastLease, body.path("lifeMs").asLong());
+      reply.accept(answer(200, Json.object().put("permit", lastLease)));
+    } else if (path.startsWith("/leases/")) {
+      long id = Long.parseLong(path.split("/")[2]);
+      if (!leases.containsKey(id)) {
+        reply.accept(answer(404, Json.object()));
+        return;
+      }
+      leases.put(id, world.now() + ttls.get(id));
+      reply.accept(answer(200, Json.object().put("permit", id)));
+    } else if (path.equals("/watch")) {
+      watch(request.query(), reply);
+    } else if (path.equals("/kv")) {
+      reply.accept(list(request.query()));
+    } else if (path.startsWith("/kv/")) {
+      String key = path.substring(4);
+      Kept kept = keys.get(key);
+      ObjectNode node = Json.object();
+      if (kept == null) {
+        reply.accept(answer(404, node.put("ledger", revision)));
+      } else {
+        node.put("key", key).put("entry", kept.version()).set("v", kept.value());
+        reply.accept(answer(200, node));
+      }
+    } else {
+      reply.accept(answer(404, Json.object()));
+    }
+  }
+
+  private Http.Response commit(JsonNode body) {
+    for (JsonNode op : body.path("apply")) {
+      if (op.has("permit") && !leases.containsKey(op.path("permit").asLong())) {
+        return answer(400, Json.object().put("error", "no such lease"));
+      }
+      if (op.path("v").toString().getBytes(StandardCharsets.UTF_8).length > 8 * 1024) {
+        return answer(400, Json.object().put("error", "too large"));
+      }
+    }
+    if (body.path("apply").size() > 32 || body.path("when").size() > 128) {
+      return answer(400, Json.object().put("error", "too many"));
+    }
+    ArrayNode failed = Json.array();
+    for (JsonNode condition : body.path("when")) {
+      Kept kept = keys.get(condition.path("key").asText());
+      if ((kept == null ? 0 : kept.version()) != condition.path("entry").asLong()) {
+        failed.add(condition.path("key").asText());
+      }
+    }
+    if (!failed.isEmpty()) {
+      ObjectNode node = Json.object().put("ledger", revision);
+      node.set("failed", failed);
+      return answer(409, node);
+    }
+    if (!body.path("apply").isEmpty()) {
+      revision++;
+      for (JsonNode op : body.path("apply")) {
+        if (op.has("remove")) {
+          write(op.path("remove").asText(), null, 0, revision);
+        } else {
+          write(op.path("write").asText(), op.path("v"), op.path("permit").asLong(), revision);
+        }
+      }
+      wake();
+    }
+    return answer(200, Json.object().put("ledger", revision));
+  }
+
+  private Http.Response list(Map<String, String> query) {
+    ObjectNode node = Json.object().put("ledger", revision);
+    ArrayNode items = node.putArray("items");
+    boolean more = false;
+    for (Map.Entry<String, Kept> one : keys.tailMap(query.get("prefix")).entrySet()) {
+      if (!one.getKey().startsWith(query.get("prefix"))
+          || query.containsKey("from") && one.getKey().compareTo(query.get("from")) <= 0) {
+        continue;
+      }
+      if (items.size() == 7) { // small pages, so that every reading takes several
+        more = true;
+        break;
+      }
+      items
+          .addObject()
+          .put("key", one.getKey())
+          .put("entry", one.getValue().version())
+          .set("v", one.getValue().value());
+    }
+    return answer(200, node.put("more", more));
+  }
+
+  private void watch(Map<String, String> query, Consumer<Http.Response> reply) {
+    long from = Long.parseLong(query.get("from"));
+    if (from < forgotten) {
+      reply.accept(answer(410, Json.object()));
+      return;
+    }
+    Watch watch = new Watch(query.get("prefix"), from, reply, new boolean[1]);
+    watches.add(watch);
+    world.after(Long.parseLong(query.get("blockMs")), () -> answerWatch(watch, true));
+    wake();
+  }
+
+  private void wake() {
+    if (!down()) {
+      List.copyOf(watches).forEach(watch -> answerWatch(watch, false));
+    }
+  }
+
+  private void answerWatch(Watch watch, boolean timeUp) {
+    if (watch.over()[0]) {
+      return;
+    }
+    if (down()) {
+      if (timeUp) {
+        world.after(outageUntil - world.now() + 1, () -> answerWatch(watch, true));
+      }
+      return;
+    }
+    ObjectNode node = Json.object().put("ledger", revision);
+    ArrayNode events = node.putArray("log");
+    for (Event event : log) {
+      if (event.revision() > watch.from() && event.key().startsWith(watch.prefix())) {
+        ObjectNode one = events.addObject().put("entry", event.revision());
+        if (event.value() == null) {
+          one.put("remove", event.key());
+        } else {
+          one.put("write", event.key()).set("v", event.value());
+        }
+      }
+    }
+    if (timeUp || !events.isEmpty()) {
+      watch.over()[0] = true;
+      watches.remove(watch);
+      watch.reply().accept(answer(200, node));
+    }
+  }
+}
--- /dev/null
+++ b/src/test/java/org/fieldtrestle/rehearsal/WorkerStandIn.java
@@ -0,0 +1,376 @@
+package org.fieldtrestle.rehearsal;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Set;
+import java.util.TreeMap;
+import java.util.function.Consumer;
+import org.fieldtrestle.protocol.Json;
+import org.fieldtrestle.transport.Http;
+
+/** A stand-in for a machine and its worker, by the protocol of reports, tokens and leases. */
+final class WorkerStandIn implements Http.Handler {
+  private static final class Task {
+    long attempt;
+    String state;
+    String cause;
+    boolean running;
+    long order;
+  }
+
+  final String id;
+  final String address;
+  final String type;
+  final String zone;
+  final boolean spot;
+  final long rentedAt;
+  boolean up;
+  boolean failed;
+  boolean failsTasks;
+  private final World world;
+  private final Scene scene;
+  private final TreeMap<String, Task> tasks = new TreeMap<>();
+  private final Set<String> images = new HashSet<>();
+  private boolean gone;
+  private long hungUntil;
+  private long session = 1;
+  private long seq;
+  private long token;
+  private long leaseFrom;
+  private long lastReport = -10_000;
+  private boolean inFlight;
+  private boolean due;
+  private boolean changed;
+  private int node;
+  private long orders;
+
+  WorkerStandIn(
+      World world, Scene scene, String id, String address, String type, String zone, boolean spot) {
+    this.world = world;
+    this.scene = scene;
+    this.id = id;
+    this.address = address;
+    this.type = type;
+    this.zone = zone;
+    this.spot = spot;
+    this.rentedAt = world.now();
+  }
+
+  private boolean alive() {
+    return up && !gone && !failed;
+  }
+
+  void boot() {
+    if (gone) {
+      return;
+    }
+    up = true;
+    leaseFrom = world.now();
+    node = (int) world.between(0, scene.labels().size() - 1);
+    scene.net.serve(address, zone, this);
+    beat();
+    watchLease();
+  }
+
+  void vanish() {
+    killAll();
+    gone = true;
+    scene.net.stop(address);
+  }
+
+  void die() {
+    if (alive()) {
+      killAll();
+      failed = true;
+      scene.net.stop(address);
+    }
+  }
+
+  void hang(long ms) {
+    hungUntil = world.now() + ms;
+  }
+
+  private boolean hung() {
+    return world.now() < hungUntil;
+  }
+
+  private void killAll() {
+    for (String name : List.copyOf(tasks.keySet())) {
+      leave(name);
+    }
+    tasks.clear();
+  }
+
+  private void leave(String name) {
+    Task task = tasks.get(name);
+    if (task.running) {
+      task.running = false;
+      scene.rules.left(name, id);
+    }
+  }
+
+  // ---- leases
+
+  private void watchLease() {
+    world.after(
+        50,
+        this::alive,
+        () -> {
+          checkLease();
+          watchLease();
+        });
+  }
+
+  private void checkLease() {
+    if (world.now() - leaseFrom > scene.leaseMs) {
+      // A hanging worker does this when it resumes; its tasks do not run meanwhile.
+      killAll();
+      if (!hung()) {
+        session++;
+        leaseFrom = world.now();
+        changed();
+      }
+    }
+  }
+
+  // ---- reports
+
+  private void beat() {
+    world.after(
+        world.between(scene.reportMs * 3 / 4, scene.reportMs * 5 / 4),
+        this::alive,
+        () -> {
+          due = true;
+          maybeReport();
+          beat();
+        });
+  }
+
+  private void changed() {
+    changed = true;
+    maybeReport();
+  }
+
+  private void maybeReport() {
+    if (!alive() || inFlight || !(due || changed)) {
+      return;
+    }
+    if (hung()) {
+      world.after(hungUntil - world.now() + 1, this::alive, this::maybeReport);
+      return;
+    }
+    long wait = lastReport + 500 - world.now();
+    if (wait > 0) {
+      world.after(wait, this::alive, this::maybeReport);
+      return;
+    }
+    checkLease();
+    inFlight = true;
+    due = false;
+    changed = false;
+    lastReport = world.now();
+    long sent = world.now();
+    long inSession = session;
+    String label = scene.labels().get(node);
+    scene.net.call(
+        zone,
+        this::alive,
+        scene.address(label),
+        "POST",
+        "/hello",
+        report(),
+        4000,
+        outcome -> resume(() -> answered(outcome, sent, inSession)));
+  }
+
+  /** Whatever reaches a hanging machine is taken in when it resumes. */
+  private void resume(Runnable work) {
+    if (hung()) {
+      world.after(hungUntil - world.now() + 1, this::alive, () -> resume(work));
+    } else {
+      checkLease();
+      work.run();
+    }
+  }
+
+  private byte[] report() {
+    ObjectNode node =
+        Json.object()
+            .put("bench", id)
+            .put("address", address)
+            .put("rig", type)
+            .put("yard", zone)
+            .put("loaners", spot)
+            .put("shift", session)
+            .put("tally", ++seq)
+            .put("warrant", token);
+    ArrayNode list = node.putArray("boards");
+    tasks.forEach(
+        (name, task) -> {
+          ObjectNode one =
+              list.addObject().put("board", name).put("try", task.attempt).put("stage", task.state);
+          if (task.cause != null) {
+            one.put("cause", task.cause);
+          }
+        });
+    return Json.bytes(node);
+  }
+
+  private void answered(Http.Outcome outcome, long sent, long inSession) {
+    inFlight = false;
+    if (outcome instanceof Http.Answer answer && answer.status() == 200) {
+      JsonNode body = Json.parseOrEmpty(answer.body());
+      long theirs = body.path("warrant").asLong(-1);
+      if (world.now() - sent <= 4000 && inSession == session && theirs >= token) {
+        boolean higher = theirs > token;
+        token = theirs;
+        leaseFrom = Math.max(leaseFrom, sent);
+        execute(body.path("orders"));
+        if (higher) {
+          changed();
+        }
+      }
+    } else if (outcome instanceof Http.Answer answer && answer.status() == 421) {
+      String to = Json.parseOrEmpty(answer.body()).path("foreman").asText("");
+      int index = scene.labels().indexOf(to);
+      if (index >= 0 && index != node) {
+        node = index;
+        changed = true;
+      } else {
+        next();
+      }
+    } else {
+      next();
+    }
+    maybeReport();
+  }
+
+  private void next() {
+    node = (node + 1) % scene.labels().size();
+    world.after(
+        1000,
+        this::alive,
+        () -> {
+          due = true;
+          maybeReport();
+        });
+  }
+
+  // ---- commands
+
+  @Override
+  public void handle(Http.Request request, Consumer<Http.Response> reply) {
+    if (hung()) {
+      world.after(hungUntil - world.now() + 1, this::alive, () -> handle(request, reply));
+      return;
+    }
+    checkLease();
+    JsonNode body = Json.parseOrEmpty(request.body());
+    if (!body.has("warrant") || !body.has("shift")) {
+      reply.accept(new Http.Response(400, Http.Response.EMPTY));
+      return;
+    }
+    if (body.path("warrant").asLong() < token || body.path("shift").asLong() != session) {
+      reply.accept(new Http.Response(409, report()));
+      return;
+    }
+    token = body.path("warrant").asLong();
+    execute(body.path("orders"));
+    reply.accept(new Http.Response(200, report()));
+  }
+
+  private void execute(JsonNode list) {
+    for (JsonNode order : list) {
+      String name = order.path("board").asText();
+      long attempt = order.path("try").asLong();
+      Task task = tasks.get(name);
+      switch (order.path("order").asText()) {
+        case "start" -> {
+          if (task == null) {
+            start(name, attempt);
+          } else if (task.attempt != attempt && task.state.equals("exited")) {
+            tasks.remove(name);
+            start(name, attempt);
+          }
+        }
+        case "stop" -> {
+          if (task != null && task.attempt == attempt && !task.state.equals("exited")) {
+            exit(name, task, "halted");
+          }
+        }
+        default -> {
+          if (task != null && task.attempt == attempt && task.state.equals("exited")) {
+            tasks.remove(name);
+          }
+        }
+      }
+    }
+    changed();
+  }
+
+  private void start(String name, long attempt) {
+    Task task = new Task();
+    task.attempt = attempt;
+    task.order = ++orders;
+    task.state = "fetching";
+    tasks.put(name, task);
+    Scene.Job job = scene.jobs.get(name.substring(0, name.lastIndexOf('/')));
+    if (job == null) {
+      exit(name, task, "unknown");
+      return;
+    }
+    double used = 0;
+    for (var other : tasks.entrySet()) {
+      if (!other.getValue().state.equals("exited")) {
+        used += scene.jobs.get(other.getKey().substring(0, other.getKey().lastIndexOf('/'))).cpus;
+      }
+    }
+    if (used > CloudStandIn.CPUS) {
+      exit(name, task, "full");
+      return;
+    }
+    long order = task.order;
+    long fetch = images.contains(job.image) ? 0 : world.between(500, 3000);
+    world.after(fetch, this::alive, () -> resume(() -> fetched(name, order, job)));
+  }
+
+  private void fetched(String name, long order, Scene.Job job) {
+    Task task = tasks.get(name);
+    if (task == null || task.order != order || task.state.equals("exited")) {
+      return;
+    }
+    images.add(job.image);
+    task.state = "running";
+    task.running = true;
+    scene.rules.started(name, this);
+    long run =
+        scene.results.contains(name)
+            ? 0
+            : failsTasks || job.broken ? 300 : world.between(job.runMs / 2, job.runMs * 3 / 2);
+    world.after(run, this::alive, () -> resume(() -> finished(name, order, job)));
+    changed();
+  }
+
+  private void finished(String name, long order, Scene.Job job) {
+    Task task = tasks.get(name);
+    if (task == null || task.order != order || task.state.equals("exited")) {
+      return;
+    }
+    if (job.broken || failsTasks && !scene.results.contains(name)) {
+      exit(name, task, "error");
+    } else {
+      scene.results.add(name);
+      exit(name, task, "done");
+    }
+  }
+
+  private void exit(String name, Task task, String cause) {
+    leave(name);
+    task.state = "exited";
+    task.cause = cause;
+    changed();
+  }
+}
