A range belongs to an epoch of its master: found by generated histories

Intake and re-handing now write the epoch, on condition that it is still current; an older epoch leaves such ranges alone. Ruled out: late commands (tokens were in order on each machine).

--- a/src/main/java/org/fieldtrestle/bookkeeping/Records.java
+++ b/src/main/java/org/fieldtrestle/bookkeeping/Records.java
@@ -129,13 +129,16 @@
   public record Job(JobSpec spec, long acceptedWall, String zone, int ranges) {}
 
   /**
-   * Some of a job's tasks, from {@code from} up to but without {@code to}, in one master's hands.
-   * {@code done} counts from 0. {@code caps} limits how many may be in a zone at a time; none where
-   * it is empty. Team and amounts are here too, since tasks of a job that has been cancelled count
-   * until they are gone.
+   * Some of a job's tasks, from {@code from} up to but without {@code to}, in one master's hands,
+   * as of an epoch of it: a later epoch knows that they may have been started before, and an
+   * earlier one, which may not know yet that it is over, leaves them alone. {@code done} counts
+   * from 0. {@code caps} limits how many may be in a zone at a time; none where it is empty. Team
+   * and amounts are here too, since tasks of a job that has been cancelled count until they are
+   * gone.
    */
   public record Range(
       String master,
+      long epoch,
       int from,
       int to,
       BitSet done,
@@ -152,16 +155,16 @@
     }
 
     public Range withDone(BitSet more) {
-      return new Range(master, from, to, more, caps, team, cpus, gpus);
+      return new Range(master, epoch, from, to, more, caps, team, cpus, gpus);
     }
 
     /** The part of it from {@code a} up to but without {@code b}, counted in the job's tasks. */
     public Range between(int a, int b) {
-      return new Range(master, a, b, done.get(a - from, b - from), caps, team, cpus, gpus);
+      return new Range(master, epoch, a, b, done.get(a - from, b - from), caps, team, cpus, gpus);
     }
 
-    public Range ownedBy(String other) {
-      return new Range(other, from, to, done, caps, team, cpus, gpus);
+    public Range ownedBy(String other, long otherEpoch) {
+      return new Range(other, otherEpoch, from, to, done, caps, team, cpus, gpus);
     }
   }
 
@@ -206,7 +209,10 @@
 
   public static JsonNode write(Range range) {
     ObjectNode node = form();
-    node.put("m", range.master()).put("a", range.from()).put("z", range.to());
+    node.put("m", range.master())
+        .put("e", range.epoch())
+        .put("a", range.from())
+        .put("z", range.to());
     node.put("done", TaskSet.encode(range.done()));
     if (!range.caps().isEmpty()) {
       ObjectNode caps = node.putObject("caps");
@@ -291,6 +297,7 @@
           }
           return new Range(
               Json.text(node, "m"),
+              Json.count(node, "e"),
               (int) from,
               (int) to,
               TaskSet.decode(Json.text(node, "done"), (int) (to - from)),
--- a/src/main/java/org/fieldtrestle/coordination/Gateway.java
+++ b/src/main/java/org/fieldtrestle/coordination/Gateway.java
@@ -5,6 +5,8 @@
 import java.util.ArrayList;
 import java.util.BitSet;
 import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
 import java.util.TreeSet;
 import java.util.function.Consumer;
 import org.fieldtrestle.bookkeeping.Records;
@@ -141,7 +143,8 @@
         response -> {
           submitting--;
           reply.accept(response);
-        });
+        },
+        3);
   }
 
   private String never(JobSpec spec) {
@@ -161,7 +164,7 @@
     return "a task fits no allowed machine type";
   }
 
-  private void accept(JobSpec spec, Consumer<Http.Response> reply) {
+  private void accept(JobSpec spec, Consumer<Http.Response> reply, int tries) {
     String zone = spec.oneZone() ? loads.roomiestZone(spec, zonesFor(spec)) : null;
     List<Split.Candidate> candidates = loads.candidates(spec, zone);
     int maxRanges = node.settings().state().txnOps() - 4;
@@ -172,10 +175,17 @@
       parts = Split.split(spec, candidates.subList(0, 1), maxPart, node.settings().zones());
     }
     Records.Job job = new Records.Job(spec, reactor.wall(), zone, parts.size());
-    List<StateWire.Condition> conditions =
-        List.of(
-            new StateWire.Condition(Records.job(spec.id()), 0),
-            new StateWire.Condition(Records.finished(spec.id()), 0));
+    List<StateWire.Condition> conditions = new ArrayList<>();
+    conditions.add(new StateWire.Condition(Records.job(spec.id()), 0));
+    conditions.add(new StateWire.Condition(Records.finished(spec.id()), 0));
+    Map<String, Long> epochs = new TreeMap<>();
+    for (Split.Part part : parts) {
+      epochs.put(part.master(), node.view().version(Records.master(part.master())));
+    }
+    // Were a master to change hands meanwhile, its new holder could not tell whether the old one
+    // has started anything of these ranges.
+    epochs.forEach(
+        (master, epoch) -> conditions.add(new StateWire.Condition(Records.master(master), epoch)));
     List<StateWire.Change> changes = new ArrayList<>();
     changes.add(new StateWire.Put(Records.job(spec.id()), Records.write(job), 0));
     for (int i = 0; i < parts.size(); i++) {
@@ -183,6 +193,7 @@
       Records.Range range =
           new Records.Range(
               part.master(),
+              epochs.get(part.master()),
               part.from(),
               part.to(),
               new BitSet(),
@@ -204,6 +215,18 @@
                 node.view().committed(changes, committed.revision());
                 LOG.debug("job {} accepted in {} ranges", spec.id(), taken.size());
                 reply.accept(new Http.Response(201, UserWire.accepted(spec.id(), Stage.QUEUED)));
+              } else if (result instanceof Store.Conflict conflict
+                  && !conflict.keys().contains(Records.job(spec.id()))
+                  && !conflict.keys().contains(Records.finished(spec.id()))) {
+                if (tries > 0) {
+                  node.view()
+                      .await(
+                          conflict.revision(),
+                          node.view().watchGapMs() * 4,
+                          seen -> accept(spec, reply, tries - 1));
+                } else {
+                  reply.accept(later());
+                }
               } else if (result instanceof Store.Conflict) {
                 status(spec.id(), reply, true);
               } else {
--- a/src/main/java/org/fieldtrestle/coordination/Master.java
+++ b/src/main/java/org/fieldtrestle/coordination/Master.java
@@ -136,7 +136,7 @@
     node.view().machines().forEach((id, kept) -> syncHost(id));
     for (var job : List.copyOf(node.view().all().entrySet())) {
       for (int index : List.copyOf(job.getValue().ranges().keySet())) {
-        syncRange(new Records.RangeKey(job.getKey(), index), true);
+        syncRange(new Records.RangeKey(job.getKey(), index));
       }
     }
     LOG.info(
@@ -153,7 +153,7 @@
       return;
     }
     if (key instanceof Records.RangeKey k) {
-      syncRange(k, false);
+      syncRange(k);
     } else if (key instanceof Records.MachineKey k) {
       syncHost(k.machine());
     } else if (key instanceof Records.JobKey k) {
@@ -533,10 +533,12 @@
     return null;
   }
 
-  private void syncRange(Records.RangeKey key, boolean inherited) {
+  private void syncRange(Records.RangeKey key) {
     View.Kept<Records.Range> kept = node.view().range(key);
     OwnedRange range = ranges.get(key);
-    if (kept == null || !kept.record().master().equals(name)) {
+    // One given to a later epoch of this master is not ours, though we may not know yet that we
+    // are over: both would start its tasks.
+    if (kept == null || !kept.record().master().equals(name) || kept.record().epoch() > epoch) {
       if (range != null) {
         ranges.remove(key);
         for (Placed task : range.placed.values()) {
@@ -557,7 +559,9 @@
     if (range == null) {
       View.LiveJob job = node.view().job(key.job());
       long age = job == null ? 0 : Math.max(0, reactor.wall() - job.job().record().acceptedWall());
-      range = new OwnedRange(key, kept.record(), kept.version(), inherited, node.now() - age);
+      range =
+          new OwnedRange(
+              key, kept.record(), kept.version(), kept.record().epoch() < epoch, node.now() - age);
       ranges.put(key, range);
       refreshJob(range);
       if (job != null && range.spec != null && node.hurried(range.spec) && key.index() == 0) {
--- a/src/main/java/org/fieldtrestle/coordination/Rehand.java
+++ b/src/main/java/org/fieldtrestle/coordination/Rehand.java
@@ -58,7 +58,7 @@
   private boolean hand(OwnedRange range, int tail) {
     String zone = range.zone != null ? range.zone : range.spec.zone();
     Split.Candidate to = node.loads().leastLoaded(range.spec, zone, master.name);
-    if (to == null) {
+    if (to == null || node.view().master(to.master()) == null) {
       return false;
     }
     double cpus = Math.max(range.spec.cpus(), 0.1);
@@ -100,16 +100,21 @@
     conditions.add(
         new StateWire.Condition(
             Records.job(range.key.job()), node.view().version(Records.job(range.key.job()))));
+    long epoch = node.view().master(to).version();
+    conditions.add(new StateWire.Condition(Records.master(to), epoch));
     if (cut == whole.from()) {
       conditions.remove(1);
-      changes.add(new StateWire.Put(Records.range(range.key), Records.write(whole.ownedBy(to)), 0));
+      changes.add(
+          new StateWire.Put(Records.range(range.key), Records.write(whole.ownedBy(to, epoch)), 0));
     } else {
       changes.add(
           new StateWire.Put(
               Records.range(range.key), Records.write(whole.between(whole.from(), cut)), 0));
       changes.add(
           new StateWire.Put(
-              Records.range(fresh), Records.write(whole.between(cut, whole.to()).ownedBy(to)), 0));
+              Records.range(fresh),
+              Records.write(whole.between(cut, whole.to()).ownedBy(to, epoch)),
+              0));
     }
     // From here on these tasks may be another master's at any time: they are not to be started.
     BitSet held = new BitSet();
--- a/src/test/java/org/fieldtrestle/rehearsal/HistoriesTest.java
+++ b/src/test/java/org/fieldtrestle/rehearsal/HistoriesTest.java
@@ -9,9 +9,13 @@
 import net.jqwik.api.ForAll;
 import net.jqwik.api.Property;
 import net.jqwik.api.ShrinkingMode;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
 
 /** Generated histories with the faults that the protocol describes; no rule may be broken. */
 class HistoriesTest {
+  private static final Logger LOG = LoggerFactory.getLogger(HistoriesTest.class);
+
   private static List<Scene.Job> submitSome(Scene scene, int count, long overMs) {
     List<Scene.Job> jobs = new ArrayList<>();
     for (int i = 0; i < count; i++) {
@@ -92,7 +96,10 @@
     WorkerStandIn machine =
         machines.isEmpty() ? null : machines.get((int) world.between(0, machines.size() - 1));
     String label = scene.labels().get((int) world.between(0, 2));
-    switch ((int) world.between(0, 9)) {
+    int kind = (int) world.between(0, 9);
+    LOG.debug(
+        "{} ms: trouble {} {} {}", world.now(), kind, label, machine == null ? "" : machine.id);
+    switch (kind) {
       case 0 -> {
         scene.trouble(10_000);
         scene.kill(label, world.between(3000, 8000));
--- a/src/test/java/org/fieldtrestle/rehearsal/Rules.java
+++ b/src/test/java/org/fieldtrestle/rehearsal/Rules.java
@@ -6,9 +6,12 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
 
 /** Judges a history by the rules of the protocol. */
 final class Rules {
+  private static final Logger LOG = LoggerFactory.getLogger(Rules.class);
   private final World world;
   private final Scene scene;
   final List<String> broken = new ArrayList<>();
@@ -25,7 +28,13 @@
     this.scene = scene;
   }
 
+  /** Into the log, between what the controllers write there. */
+  private void trace(String what) {
+    LOG.debug("{} ms: {}", world.now(), what);
+  }
+
   private void breaks(String rule, String what) {
+    trace("BROKEN " + rule + " " + what);
     broken.add(rule + " at " + world.now() + " ms: " + what);
   }
 
@@ -35,6 +44,7 @@
 
   void started(String task, WorkerStandIn machine) {
     starts++;
+    trace(task + " starts on " + machine.id);
     Set<String> places = on.computeIfAbsent(task, t -> new HashSet<>());
     if (!places.isEmpty()) {
       breaks("ran_twice", task + " starts on " + machine.id + " while on " + places);
@@ -79,6 +89,7 @@
   }
 
   void left(String task, String machine) {
+    trace(task + " leaves " + machine);
     checkCancelled(task);
     on.getOrDefault(task, new HashSet<>()).remove(machine);
   }
