Room kept free is bounded; machines are rented for each kind of need apart

The reserve could exceed all machines there were, and idle machines that one job could not use were taken for room, returned and rented again.

--- a/src/main/java/org/fieldtrestle/coordination/Fleet.java
+++ b/src/main/java/org/fieldtrestle/coordination/Fleet.java
@@ -6,6 +6,7 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Objects;
 import java.util.Set;
 import org.fieldtrestle.bookkeeping.Records;
 import org.fieldtrestle.protocol.CloudWire;
@@ -378,7 +379,19 @@
   }
 
   /** Waiting work that has to be through within some time, in seconds of a whole machine. */
-  private record Need(MachineType type, boolean spot, String zone, double work, double withinS) {}
+  private record Need(MachineType type, boolean spot, String zone, double work, double withinS) {
+    boolean sameAs(Need other) {
+      return type.name().equals(other.type.name())
+          && spot == other.spot
+          && Objects.equals(zone, other.zone);
+    }
+
+    boolean servedBy(Host host) {
+      return host.type.equals(type.name())
+          && (spot || !host.spot)
+          && (zone == null || zone.equals(host.zone));
+    }
+  }
 
   private void rent(long now) {
     measure(now);
@@ -398,12 +411,30 @@
       return;
     }
     needs.sort(Comparator.comparingDouble(Need::withinS));
-    MachineType type = needs.get(0).type();
+    // Jobs that ask for different machines are counted apart: one's idle machines are no help to
+    // another, and would be returned and rented again for ever.
+    Need largest = null;
+    int wanted = 0;
+    for (Need kind : needs) {
+      int missing = missing(kind, needs, now);
+      if (missing > wanted) {
+        wanted = missing;
+        largest = kind;
+      }
+    }
+    if (wanted > 0) {
+      hire(largest, Math.min(wanted, CloudWire.MAX_RENT), now);
+    }
+  }
+
+  /** How many machines more the needs that ask for the same as this one take. */
+  private int missing(Need kind, List<Need> needs, long now) {
+    MachineType type = kind.type();
     double busy = 0;
     int machines = 0;
     double booting = 0;
     for (Host host : master.hosts.values()) {
-      if (host.draining || host.lost) {
+      if (host.draining || host.lost || !kind.servedBy(host)) {
         continue;
       }
       machines++;
@@ -419,21 +450,16 @@
     }
     // Whatever has to be through first comes first; each later need adds to what is before it.
     double work = 0;
-    int wanted = 0;
-    Need largest = needs.get(0);
+    int wanted = (int) Math.ceil(target()) - machines;
     for (Need need : needs) {
-      work += need.work();
-      double room = machines * need.withinS() - booting - busy;
-      double missing = (work - Math.max(0, room)) / (need.withinS() - type.bootS());
-      if (Math.ceil(missing - 0.2) > wanted) {
-        wanted = (int) Math.ceil(missing - 0.2);
-        largest = need;
+      if (need.sameAs(kind)) {
+        work += need.work();
+        double room = machines * need.withinS() - booting - busy;
+        double missing = (work - Math.max(0, room)) / (need.withinS() - type.bootS());
+        wanted = Math.max(wanted, (int) Math.ceil(missing - 0.2));
       }
     }
-    wanted = Math.max(wanted, (int) Math.ceil(target()) - machines);
-    if (wanted > 0) {
-      hire(largest, Math.min(wanted, CloudWire.MAX_RENT), now);
-    }
+    return wanted;
   }
 
   private Need need(OwnedRange range, MachineType type, long now) {
--- a/src/main/java/org/fieldtrestle/coordination/Master.java
+++ b/src/main/java/org/fieldtrestle/coordination/Master.java
@@ -41,6 +41,9 @@
 
   private static final int MOST_ORDERS = 200;
 
+  /** Share of all CPUs that is kept for classes that hurry at the most. */
+  private static final double RESERVED_AT_MOST = 0.25;
+
   /** What a master is told. */
   public sealed interface Message {}
 
@@ -913,7 +916,7 @@
   double reserve() {
     double mine = capacity();
     double part = mine / Math.max(1, mine + node.loads().capacityOfOthers(name));
-    return urgentCpus * node.tuning().reserve() * part;
+    return Math.min(urgentCpus * node.tuning().reserve() * part, mine * RESERVED_AT_MOST);
   }
 
   private boolean kept(JobSpec spec, List<Host.Room> rooms) {
@@ -922,10 +925,13 @@
     }
     double reserve = reserve();
     double free = 0;
+    double all = 0;
     for (Host.Room room : rooms) {
       free += room.cpus();
+      all += room.type.cpus();
     }
-    return free - spec.cpus() < reserve;
+    // On machines that run nothing, a task larger than what is not kept would wait for ever.
+    return free - spec.cpus() < reserve && free < all;
   }
 
   /** The free amounts of all machines that may be given tasks. */
