--- a/src/main/java/org/fieldtrestle/coordination/Master.java
+++ b/src/main/java/org/fieldtrestle/coordination/Master.java
@@ -286,6 +286,9 @@
         loseTasks(host, "its lease ran out");
       }
       host.session = report.session();
+      // A session's lease runs from when it began, which may be just now, whoever answers: what is
+      // given to it by a direct command must not be taken for lost with the session before.
+      host.leaseFrom = Math.max(host.leaseFrom, now);
     }
     if (report.token() < firstToken()) {
       return; // may still be given commands of an earlier epoch
