--- a/src/main/java/org/fieldtrestle/coordination/Shares.java
+++ b/src/main/java/org/fieldtrestle/coordination/Shares.java
@@ -122,6 +122,10 @@
       shrinks |= want[i] < mine[i] - SLACK;
     }
     long now = node.now();
+    long version = kept == null ? 0 : kept.version();
+    Shrinking less = shrinking.get(team.name());
+    // A shrinking of unknown fate binds us until the record has a newer version: any write will do.
+    grows |= less != null && less.version() == version;
     if (!grows && !shrinks) {
       idleSince.remove(team.name());
       return;
@@ -134,7 +138,6 @@
     }
     idleSince.remove(team.name());
     shares.put(master.name, want);
-    long version = kept == null ? 0 : kept.version();
     if (kept != null && shrinks) {
       shrinking.put(team.name(), new Shrinking(version, want[0], want[1]));
     }
