--- a/src/main/java/org/fieldtrestle/coordination/Gateway.java
+++ b/src/main/java/org/fieldtrestle/coordination/Gateway.java
@@ -152,9 +152,10 @@
     if (team == null) {
       return "unknown team";
     }
-    if (team.cpusMax() > 0 && spec.cpus() > team.cpusMax()
-        || team.gpusMax() > 0 && spec.gpus() > team.gpusMax()) {
-      return "a task needs more than the team's limit";
+    int together = spec.whole() ? spec.tasks() : 1;
+    if (team.cpusMax() > 0 && spec.cpus() * together > team.cpusMax()
+        || team.gpusMax() > 0 && spec.gpus() * together > team.gpusMax()) {
+      return "needs more than the team's limit";
     }
     for (MachineType type : node.types()) {
       if (type.allowedFor(spec)) {
--- a/src/main/java/org/fieldtrestle/coordination/Host.java
+++ b/src/main/java/org/fieldtrestle/coordination/Host.java
@@ -175,6 +175,12 @@
           && spec.memoryGb() <= memoryGb + slack;
     }
 
+    void giveBack(JobSpec spec) {
+      cpus += spec.cpus();
+      gpus += spec.gpus();
+      memoryGb += spec.memoryGb();
+    }
+
     void take(JobSpec spec) {
       cpus -= spec.cpus();
       gpus -= spec.gpus();
--- a/src/main/java/org/fieldtrestle/coordination/Master.java
+++ b/src/main/java/org/fieldtrestle/coordination/Master.java
@@ -807,6 +807,20 @@
         continue;
       }
       JobSpec spec = range.spec;
+      if (spec.kind() == JobSpec.Kind.GANG) {
+        if (range.placed.isEmpty() && range.waiting() > 0 && range.mayRetryAll(now)) {
+          groups.add(
+              new Falcon.Waiting<>(
+                  new Group(range, -1),
+                  spec.priority(),
+                  falcon.score(spec.estimateS(), (now - range.waitingSince) / 1000.0),
+                  range.waiting()));
+        } else if (range.waiting() > 0) {
+          // One of them was lost: the rest cannot go on without it.
+          List.copyOf(range.placed.values()).forEach(task -> stop(task, spec.saveS()));
+        }
+        continue;
+      }
       int fresh = range.fresh.cardinality();
       if (fresh > 0) {
         groups.add(
@@ -892,6 +906,10 @@
       Falcon.Waiting<Group> next = falcon.next(groups);
       groups.remove(next);
       OwnedRange range = next.what().range();
+      if (range.spec.kind() == JobSpec.Kind.GANG) {
+        placeGang(rooms, range, now);
+        continue;
+      }
       Host.Room room = kept(range.spec, rooms) ? null : choose(rooms, range, next.what());
       if (room != null && !room.host.hasImage(range.spec.image()) && patient(next, groups, stuck)) {
         room = null;
@@ -901,7 +919,7 @@
         continue;
       }
       int offset = next.what().isFresh() ? range.fresh.nextSetBit(0) : next.what().offset();
-      place(range, offset, room.host, now);
+      place(range, offset, room.host, firstToken() + ++attempts, now);
       room.take(range.spec);
       if (next.count() > 1) {
         groups.add(
@@ -937,6 +955,28 @@
     return free - spec.cpus() < reserve && free < all;
   }
 
+  /** All tasks of a gang at once, or none. */
+  private void placeGang(List<Host.Room> rooms, OwnedRange range, long now) {
+    BitSet all = (BitSet) range.fresh.clone();
+    range.retries.keySet().forEach(all::set);
+    if (!shares.allows(range.spec, all.cardinality())) {
+      return;
+    }
+    Map<Integer, Host.Room> chosen = new TreeMap<>();
+    for (int offset = all.nextSetBit(0); offset >= 0; offset = all.nextSetBit(offset + 1)) {
+      Host.Room room = choose(rooms, range, offset);
+      if (room == null) {
+        chosen.values().forEach(taken -> taken.giveBack(range.spec));
+        return;
+      }
+      room.take(range.spec);
+      chosen.put(offset, room);
+    }
+    // One attempt for all: a gang's tasks know each other by it.
+    long attempt = firstToken() + ++attempts;
+    chosen.forEach((offset, room) -> place(range, offset, room.host, attempt, now));
+  }
+
   /** The free amounts of all machines that may be given tasks. */
   private List<Host.Room> rooms(long now) {
     List<Host.Room> rooms = new ArrayList<>();
@@ -1005,11 +1045,13 @@
 
   /** The fitting machine with the least room left, of those that have the image if any has it. */
   private Host.Room choose(List<Host.Room> rooms, OwnedRange range, Group group) {
+    return shares.allows(range.spec)
+        ? choose(rooms, range, group.isFresh() ? range.fresh.nextSetBit(0) : group.offset())
+        : null;
+  }
+
+  private Host.Room choose(List<Host.Room> rooms, OwnedRange range, int offset) {
     JobSpec spec = range.spec;
-    if (!shares.allows(spec)) {
-      return null;
-    }
-    int offset = group.isFresh() ? range.fresh.nextSetBit(0) : group.offset();
     Host.Room best = null;
     boolean bestHas = false;
     double bestLeft = 0;
@@ -1045,11 +1087,10 @@
     return room.host.spot != best.host.spot ? room.host.spot : left < bestLeft;
   }
 
-  private void place(OwnedRange range, int offset, Host host, long now) {
+  private void place(OwnedRange range, int offset, Host host, long attempt, long now) {
     OwnedRange.Retry retry = range.retries.get(offset);
     long since = retry == null ? range.waitingSince : retry.waitingSince;
     TaskId id = new TaskId(range.key.job(), range.record.from() + offset);
-    long attempt = firstToken() + ++attempts;
     Placed task = new Placed(id, attempt, host, range, now, (now - since) / 1000.0);
     host.placed.put(id, task);
     range.place(offset, task);
@@ -1121,7 +1162,10 @@
     JobSpec spec = drawn.what().range().spec;
     List<Falcon.Running<Placed>> running = new ArrayList<>();
     for (Placed task : host.placed.values()) {
-      if (task.live() && task.range != null && task.range.spec != null) {
+      if (task.live()
+          && task.range != null
+          && task.range.spec != null
+          && !task.range.spec.whole()) { // gangs and services are spared
         JobSpec other = task.range.spec;
         running.add(
             new Falcon.Running<>(
--- a/src/main/java/org/fieldtrestle/coordination/OwnedRange.java
+++ b/src/main/java/org/fieldtrestle/coordination/OwnedRange.java
@@ -92,6 +92,15 @@
     }
   }
 
+  boolean mayRetryAll(long now) {
+    for (Retry retry : retries.values()) {
+      if (retry.notBefore > now) {
+        return false;
+      }
+    }
+    return true;
+  }
+
   int waiting() {
     return fresh.cardinality() + retries.size();
   }
--- a/src/main/java/org/fieldtrestle/coordination/Rehand.java
+++ b/src/main/java/org/fieldtrestle/coordination/Rehand.java
@@ -4,6 +4,7 @@
 import java.util.BitSet;
 import java.util.List;
 import org.fieldtrestle.bookkeeping.Records;
+import org.fieldtrestle.protocol.JobSpec;
 import org.fieldtrestle.protocol.StateWire;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
@@ -52,7 +53,8 @@
       return 0;
     }
     int size = range.record.size();
-    return size - 1 - range.fresh.previousClearBit(size - 1);
+    int tail = size - 1 - range.fresh.previousClearBit(size - 1);
+    return range.spec.kind() == JobSpec.Kind.GANG && tail < size ? 0 : tail;
   }
 
   private boolean hand(OwnedRange range, int tail) {
@@ -78,7 +80,7 @@
       }
     }
     count = Math.min(count, tail);
-    if (count <= 0) {
+    if (count <= 0 || range.spec.kind() == JobSpec.Kind.GANG && count < tail) {
       return false;
     }
     move(range, count, to.master());
--- a/src/main/java/org/fieldtrestle/coordination/Shares.java
+++ b/src/main/java/org/fieldtrestle/coordination/Shares.java
@@ -39,6 +39,11 @@
 
   /** May one more task of this job be started? */
   boolean allows(JobSpec spec) {
+    return allows(spec, 1);
+  }
+
+  /** May so many more tasks of this job be started? */
+  boolean allows(JobSpec spec, int tasks) {
     Settings.Team team = node.settings().team(spec.team());
     if (team == null) {
       return false;
@@ -48,8 +53,8 @@
     }
     double[] share = share(team.name());
     double[] used = used(team.name());
-    return (team.cpusMax() <= 0 || used[0] + spec.cpus() <= share[0] + SLACK)
-        && (team.gpusMax() <= 0 || used[1] + spec.gpus() <= share[1] + SLACK);
+    return (team.cpusMax() <= 0 || used[0] + spec.cpus() * tasks <= share[0] + SLACK)
+        && (team.gpusMax() <= 0 || used[1] + spec.gpus() * tasks <= share[1] + SLACK);
   }
 
   private double[] share(String team) {
--- a/src/main/java/org/fieldtrestle/coordination/Split.java
+++ b/src/main/java/org/fieldtrestle/coordination/Split.java
@@ -36,8 +36,9 @@
     List<Candidate> byRoom = new ArrayList<>(candidates);
     byRoom.sort(Comparator.comparingInt(Candidate::freeTasks).reversed());
     int left = spec.tasks();
-    if (spec.spread()) {
-      // In small parts its zone limit would round to nothing: such a job stays with one master.
+    if (spec.spread() || spec.kind() == JobSpec.Kind.GANG) {
+      // In small parts a zone limit would round to nothing, and a gang starts as a whole: such a
+      // job stays with one master.
       counts.put(byRoom.get(0).master(), left);
       left = 0;
     }
--- a/src/main/java/org/fieldtrestle/protocol/JobSpec.java
+++ b/src/main/java/org/fieldtrestle/protocol/JobSpec.java
@@ -10,6 +10,7 @@
     String id,
     String jobClass,
     String team,
+    Kind kind,
     Priority priority,
     int tasks,
     double cpus,
@@ -27,6 +28,21 @@
     double saveS,
     double deadlineS) {
 
+  /** How the tasks of a job belong together. */
+  public enum Kind {
+    /** Independent tasks, each of which runs to its end. */
+    ARRAY,
+    /** Tasks that start, run and stop together. */
+    GANG,
+    /** Tasks that run until the job is cancelled. */
+    SERVICE
+  }
+
+  /** Whether all tasks need their room at the same time. */
+  public boolean whole() {
+    return kind != Kind.ARRAY;
+  }
+
   public boolean savesWork() {
     return checkpointS > 0;
   }
--- a/src/main/java/org/fieldtrestle/protocol/UserWire.java
+++ b/src/main/java/org/fieldtrestle/protocol/UserWire.java
@@ -38,9 +38,13 @@
     if (!validId(id)) {
       throw new Json.Malformed("uid");
     }
-    if (!Json.text(node, "cut").equals("array")) {
-      throw new Json.Malformed("cut");
-    }
+    JobSpec.Kind kind =
+        switch (Json.text(node, "cut")) {
+          case "array" -> JobSpec.Kind.ARRAY;
+          case "group" -> JobSpec.Kind.GANG;
+          case "daemon" -> JobSpec.Kind.SERVICE;
+          default -> throw new Json.Malformed("cut");
+        };
     long tasks = Json.count(node, "boards");
     if (tasks > MAX_TASKS) {
       throw new Json.Malformed("boards");
@@ -67,6 +71,7 @@
         id,
         name(Json.text(node, "lot"), "lot"),
         name(Json.text(node, "crew"), "crew"),
+        kind,
         priority(Json.text(node, "urgency")),
         (int) tasks,
         cpus,
@@ -107,7 +112,13 @@
     node.put("uid", spec.id());
     node.put("lot", spec.jobClass());
     node.put("crew", spec.team());
-    node.put("cut", "array");
+    node.put(
+        "cut",
+        switch (spec.kind()) {
+          case ARRAY -> "array";
+          case GANG -> "group";
+          case SERVICE -> "daemon";
+        });
     node.put(
         "urgency",
         switch (spec.priority()) {
--- a/src/main/java/org/fieldtrestle/protocol/WorkerWire.java
+++ b/src/main/java/org/fieldtrestle/protocol/WorkerWire.java
@@ -80,13 +80,15 @@
             case "running" -> TaskState.RUNNING;
             case "saving" -> TaskState.SAVING;
             case "exited" -> TaskState.EXITED;
-            // "fetching", and whatever a later worker may call a task that is not running yet
+            // "fetching", a gang's "waiting" for its peers, and whatever a later worker may call a
+            // task that is not running yet
             default -> TaskState.FETCHING;
           };
       Cause cause =
           switch (item.path("cause").asText("")) {
             case "done" -> Cause.DONE;
-            case "halted" -> Cause.STOPPED;
+            // The latter two: a gang's task whose peers did not come, or went.
+            case "halted", "peers", "alone" -> Cause.STOPPED;
             case "full" -> Cause.NO_ROOM;
             case "in_use" -> Cause.BUSY;
             case "unknown" -> Cause.UNKNOWN;
