--- a/src/main/java/org/fieldtrestle/coordination/Fleet.java
+++ b/src/main/java/org/fieldtrestle/coordination/Fleet.java
@@ -21,7 +21,10 @@
   private static final Logger LOG = LoggerFactory.getLogger(Fleet.class);
 
   /** How much of the time that a deadline leaves may pass before the last waiting task starts. */
-  private static final double SLACK_USED = 0.6;
+  private static final double SLACK_USED = 0.75;
+
+  /** How much of the usual flow of work is rented for beside what waits. */
+  private static final double FLOW_COUNTED = 0.5;
 
   private final Master master;
   private final Node node;
@@ -36,7 +39,6 @@
   private long listedAt;
   private double arrivedWork;
   private double load;
-  private double loadWeight;
   private long loadAt = -1;
   private long calmSince;
 
@@ -363,7 +365,7 @@
 
   /** Machines that the usual flow of work keeps busy, with some room to spare. */
   private double target() {
-    return loadWeight < 0.05 ? 0 : load / loadWeight * 1.2;
+    return load * 1.2;
   }
 
   private void measure(long now) {
@@ -373,7 +375,6 @@
     }
     double fade = Math.exp(-seconds / 150);
     load = load * fade + arrivedWork / seconds * (1 - fade);
-    loadWeight = loadWeight * fade + (1 - fade);
     arrivedWork = 0;
     loadAt = now;
   }
@@ -423,7 +424,17 @@
       }
     }
     if (wanted > 0) {
-      hire(largest, Math.min(wanted, CloudWire.MAX_RENT), now);
+      hire(largest, Math.min(wanted, CloudWire.MAX_RENT), now, true);
+      return;
+    }
+    // What the usual flow keeps busy is rented ahead of it, but only where that is cheap.
+    int machines = 0;
+    for (Host host : master.hosts.values()) {
+      machines += host.draining ? 0 : 1;
+    }
+    wanted = (int) Math.floor(target()) - machines;
+    if (wanted > 0 && needs.get(0).spot()) {
+      hire(needs.get(0), Math.min(wanted, CloudWire.MAX_RENT), now, false);
     }
   }
 
@@ -450,12 +461,14 @@
     }
     // Whatever has to be through first comes first; each later need adds to what is before it.
     double work = 0;
-    int wanted = (int) Math.ceil(target()) - machines;
+    int wanted = 0;
     for (Need need : needs) {
       if (need.sameAs(kind)) {
         work += need.work();
+        // Work goes on coming while this is done; part of it finds room that others leave.
+        double flow = load * need.withinS() * FLOW_COUNTED;
         double room = machines * need.withinS() - booting - busy;
-        double missing = (work - Math.max(0, room)) / (need.withinS() - type.bootS());
+        double missing = (work + flow - Math.max(0, room)) / (need.withinS() - type.bootS());
         wanted = Math.max(wanted, (int) Math.ceil(missing - 0.2));
       }
     }
@@ -471,7 +484,8 @@
     double slack =
         spec.deadlineS() < 0
             ? 4 * type.bootS()
-            : (spec.deadlineS() - waited - spec.estimateS() - fetchS(type, spec)) * SLACK_USED;
+            : (spec.deadlineS() - waited - spec.estimateS() - fetchS(type, spec)) * SLACK_USED
+                + spec.estimateS();
     // A machine that is rented now helps no sooner than it boots, however late the job is.
     double within = Math.min(Math.max(slack, 2 * type.bootS()), 6 * type.bootS());
     return new Need(type, spec.spot(), zone, work, within);
@@ -490,7 +504,7 @@
     return fetch + task.remainingS(now, spec.estimateS());
   }
 
-  private void hire(Need need, int count, long now) {
+  private void hire(Need need, int count, long now, boolean ordinary) {
     List<String> zones = new ArrayList<>();
     for (String zone : need.type().zones()) {
       if (need.zone() == null || need.zone().equals(zone)) {
@@ -501,7 +515,10 @@
     zones.sort(
         (a, b) ->
             Boolean.compare(b.equals(node.settings().zone()), a.equals(node.settings().zone())));
-    for (boolean spot : need.spot() ? new boolean[] {true, false} : new boolean[] {false}) {
+    for (boolean spot : new boolean[] {true, false}) {
+      if (spot ? !need.spot() : !ordinary) {
+        continue;
+      }
       for (String zone : zones) {
         String place = need.type().name() + "/" + zone + "/" + spot;
         if (refusedUntil.getOrDefault(place, 0L) <= now) {
--- a/src/main/java/org/fieldtrestle/coordination/Master.java
+++ b/src/main/java/org/fieldtrestle/coordination/Master.java
@@ -44,6 +44,9 @@
   /** Share of all CPUs that is kept for classes that hurry at the most. */
   private static final double RESERVED_AT_MOST = 0.25;
 
+  /** A machine that has the image is waited for during this share of a fetch at the most. */
+  private static final double PATIENCE = 0.4;
+
   /** What a master is told. */
   public sealed interface Message {}
 
@@ -1040,7 +1043,7 @@
         }
       }
     }
-    return waiting / slots < fetchS;
+    return waiting / slots < fetchS * PATIENCE;
   }
 
   /** The fitting machine with the least room left, of those that have the image if any has it. */
