--- a/src/main/java/org/fieldtrestle/Main.java
+++ b/src/main/java/org/fieldtrestle/Main.java
@@ -7,6 +7,7 @@
 import java.util.concurrent.Callable;
 import java.util.random.RandomGenerator;
 import org.fieldtrestle.coordination.Controller;
+import org.fieldtrestle.coordination.OperatorFile;
 import org.fieldtrestle.coordination.Tuning;
 import org.fieldtrestle.protocol.PeerWire;
 import org.fieldtrestle.protocol.Settings;
@@ -31,6 +32,12 @@
       description = "the platform's settings (TOML)")
   private Path config;
 
+  @CommandLine.Option(
+      names = "--operator",
+      paramLabel = "FILE",
+      description = "the operators' own settings (HCL); without it the defaults hold")
+  private Path operator;
+
   @CommandLine.Option(
       names = "--check",
       description = "only check the settings, and say what is wrong with them")
@@ -48,6 +55,8 @@
     String level = System.getenv().getOrDefault("LOG_LEVEL", "info");
     System.setProperty("org.slf4j.simpleLogger.defaultLogLevel", level);
     System.setProperty("org.slf4j.simpleLogger.log.io.netty", "warn");
+    // A bad setting is one line of ours, not the parser's stack trace.
+    System.setProperty("org.slf4j.simpleLogger.log.com.bertramlabs", "off");
     System.setProperty("org.slf4j.simpleLogger.showThreadName", "false");
     System.setProperty("org.slf4j.simpleLogger.showShortLogName", "true");
     // One event loop serves everything; more arenas and caches would only cost memory.
@@ -63,8 +72,10 @@
   @Override
   public Integer call() throws InterruptedException {
     Settings settings;
+    Tuning tuning;
     try {
       settings = SettingsFile.read(config);
+      tuning = operator == null ? Tuning.DEFAULT : OperatorFile.read(operator);
     } catch (Settings.Invalid e) {
       System.err.println("fieldtrestle: " + e.getMessage());
       return 2;
@@ -81,12 +92,7 @@
     PeerNet peers = new PeerNet(group, PeerWire.MAX_FRAME, sockets / 16, idleMs);
     Controller controller =
         new Controller(
-            settings,
-            Tuning.DEFAULT,
-            reactor,
-            RandomGenerator.of("L64X128MixRandom"),
-            client,
-            peers);
+            settings, tuning, reactor, RandomGenerator.of("L64X128MixRandom"), client, peers);
     HttpServer server = new HttpServer(group, controller, sockets / 2, idleMs);
     server.start(address(settings.userAddress()));
     peers.start(
--- a/src/main/java/org/fieldtrestle/coordination/Falcon.java
+++ b/src/main/java/org/fieldtrestle/coordination/Falcon.java
@@ -75,13 +75,19 @@
     return ranked.get(ranked.size() - 1);
   }
 
-  /** Equation 5: of k waiting tasks, at least a delta-th score less than this one. */
+  /**
+   * Equation 5: of k waiting tasks, this one outscores at least a delta-th. Priorities come first
+   * here too, and of tasks that score alike the earlier ranks before the later.
+   */
   public <T> boolean outscoresEnough(Waiting<T> one, List<Waiting<T>> waiting) {
     long k = 0;
     long less = 0;
     for (Waiting<T> other : waiting) {
       k += other.count();
-      if (other.score() < one.score()) {
+      if (other == one) {
+        less += other.count() - 1;
+      } else if (one.priority().above(other.priority())
+          || one.priority() == other.priority() && other.score() < one.score()) {
         less += other.count();
       }
     }
--- a/src/main/java/org/fieldtrestle/coordination/Fleet.java
+++ b/src/main/java/org/fieldtrestle/coordination/Fleet.java
@@ -380,7 +380,8 @@
   }
 
   /** Waiting work that has to be through within some time, in seconds of a whole machine. */
-  private record Need(MachineType type, boolean spot, String zone, double work, double withinS) {
+  private record Need(
+      OwnedRange range, MachineType type, boolean spot, String zone, double work, double withinS) {
     boolean sameAs(Need other) {
       return type.name().equals(other.type.name())
           && spot == other.spot
@@ -445,7 +446,7 @@
     int machines = 0;
     double booting = 0;
     for (Host host : master.hosts.values()) {
-      if (host.draining || host.lost || !kind.servedBy(host)) {
+      if (host.draining || host.lost || !kind.servedBy(host) || faults.avoids(kind.range(), host)) {
         continue;
       }
       machines++;
@@ -461,7 +462,8 @@
     }
     // Whatever has to be through first comes first; each later need adds to what is before it.
     double work = 0;
-    int wanted = 0;
+    // However little waits, without any machine it would wait for ever.
+    int wanted = machines == 0 ? 1 : 0;
     for (Need need : needs) {
       if (need.sameAs(kind)) {
         work += need.work();
@@ -488,7 +490,7 @@
                 + spec.estimateS();
     // A machine that is rented now helps no sooner than it boots, however late the job is.
     double within = Math.min(Math.max(slack, 2 * type.bootS()), 6 * type.bootS());
-    return new Need(type, spec.spot(), zone, work, within);
+    return new Need(range, type, spec.spot(), zone, work, within);
   }
 
   static double fetchS(MachineType type, JobSpec spec) {
--- a/src/main/java/org/fieldtrestle/coordination/Master.java
+++ b/src/main/java/org/fieldtrestle/coordination/Master.java
@@ -1107,12 +1107,24 @@
 
   /** Selective Preemption for tasks that found no room, one machine at a time. */
   private void evict(List<Falcon.Waiting<Group>> stuck, long now) {
-    if (stuck.isEmpty() || now - lastEviction < node.reportMs(0.5)) {
+    if (stuck.isEmpty() || now - lastEviction < node.reportMs(0.2)) {
       return;
     }
+    lastEviction = now;
+    // What is on its way out already makes room for as many as fit it: no more are needed.
+    Map<Falcon.Waiting<Group>, Integer> unmet = new HashMap<>();
+    stuck.forEach(one -> unmet.put(one, one.count()));
     for (Host host : hosts.values()) {
       MachineType type = node.type(host.type);
-      if (type == null || !usable(host, now) || stopping(host)) {
+      if (type == null || !usable(host, now)) {
+        continue;
+      }
+      if (stopping(host)) {
+        for (Placed task : host.placed.values()) {
+          if (task.live() && task.stop && task.range != null) {
+            meet(unmet, task.range.record.cpus());
+          }
+        }
         continue;
       }
       List<Falcon.Waiting<Group>> queue = new ArrayList<>();
@@ -1128,22 +1140,30 @@
       }
       List<Falcon.Waiting<Group>> ready = new ArrayList<>();
       for (Falcon.Waiting<Group> one : queue) {
-        if (waited(one.what(), now) >= node.evictWaitS(one.what().range().spec)
+        if (unmet.get(one) > 0
+            && waited(one.what(), now) >= node.evictWaitS(one.what().range().spec)
             && falcon.outscoresEnough(one, queue)) {
           ready.add(one);
         }
       }
-      if (ready.isEmpty()) {
-        continue;
-      }
-      Falcon.Waiting<Group> drawn = falcon.next(ready);
-      if (evictFor(drawn, host, type, now)) {
-        lastEviction = now;
-        return;
+      if (!ready.isEmpty()) {
+        double freed = evictFor(falcon.next(ready), host, type, now);
+        meet(unmet, freed);
       }
     }
   }
 
+  /** Counts room that is about to be free against what waits for it. */
+  private static void meet(Map<Falcon.Waiting<Group>, Integer> unmet, double cpus) {
+    double left = cpus;
+    for (Map.Entry<Falcon.Waiting<Group>, Integer> one : unmet.entrySet()) {
+      double each = Math.max(0.1, one.getKey().what().range().record.cpus());
+      int met = (int) Math.min(one.getValue(), Math.floor(left / each + 1e-6));
+      one.setValue(one.getValue() - met);
+      left -= met * each;
+    }
+  }
+
   private static boolean stopping(Host host) {
     for (Placed task : host.placed.values()) {
       if (task.live() && task.stop) {
@@ -1161,7 +1181,8 @@
     return (now - since) / 1000.0;
   }
 
-  private boolean evictFor(Falcon.Waiting<Group> drawn, Host host, MachineType type, long now) {
+  /** Makes room for one waiting task on a machine; returns the CPUs that its victims leave. */
+  private double evictFor(Falcon.Waiting<Group> drawn, Host host, MachineType type, long now) {
     JobSpec spec = drawn.what().range().spec;
     List<Falcon.Running<Placed>> running = new ArrayList<>();
     for (Placed task : host.placed.values()) {
@@ -1197,14 +1218,16 @@
       chosen.add(victim.what());
     }
     if (chosen.isEmpty() || cpus < spec.cpus() || gpus < spec.gpus() || memory < spec.memoryGb()) {
-      return false;
+      return 0;
     }
+    double freed = 0;
     for (Placed victim : chosen) {
+      freed += victim.range.record.cpus();
       LOG.info("task {} gives way to {} ({})", victim, spec.id(), spec.priority());
       node.stats().evicted++;
       stop(victim, victim.range.spec.savesWork() ? victim.range.spec.saveS() : 0);
     }
-    return true;
+    return freed;
   }
 
   // ---- direct commands
--- a/src/main/java/org/fieldtrestle/coordination/Node.java
+++ b/src/main/java/org/fieldtrestle/coordination/Node.java
@@ -56,12 +56,12 @@
     return false;
   }
 
-  /** A class that is to start within some time may evict after half of it, if that is sooner. */
+  /** A class that is to start within some time may evict after a part of it, if that is sooner. */
   double evictWaitS(JobSpec spec) {
     double wait = tuning.evictWaitS();
     for (Settings.Objective aim : settings.objectives()) {
       if (aim.kind().equals("wait") && aim.jobClass().equals(spec.jobClass())) {
-        wait = Math.min(wait, aim.withinS() / 2);
+        wait = Math.min(wait, aim.withinS() / 6);
       }
     }
     return wait;
--- /dev/null
+++ b/src/test/java/org/fieldtrestle/coordination/FalconTest.java
@@ -0,0 +1,104 @@
+package org.fieldtrestle.coordination;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.SplittableRandom;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.constraints.DoubleRange;
+import net.jqwik.api.constraints.Size;
+import org.fieldtrestle.protocol.Priority;
+import org.junit.jupiter.api.Test;
+
+class FalconTest {
+  private final Falcon falcon = new Falcon(Tuning.DEFAULT, new SplittableRandom(7));
+
+  private static Falcon.Waiting<String> waiting(String name, Priority priority, double score) {
+    return new Falcon.Waiting<>(name, priority, score, 1);
+  }
+
+  @Test
+  void theScoreIsEquationThreeWithAFloor() {
+    assertEquals(0.5 / 20 + 0.5 * 6, falcon.score(20, 6), 1e-12);
+    assertEquals(0.5 + 0.5 * 6, falcon.score(0.001, 6), 1e-12);
+  }
+
+  @Test
+  void thePapersExampleOfTenTasks() {
+    List<Falcon.Waiting<String>> queue = new ArrayList<>();
+    for (int i = 1; i <= 10; i++) {
+      queue.add(waiting("t" + i, Priority.NORMAL, i));
+    }
+    for (int i = 1; i <= 10; i++) {
+      // 10 * 0.35 = 3.5: a task has to outscore four others
+      assertEquals(i >= 5, falcon.outscoresEnough(queue.get(i - 1), queue), "t" + i);
+    }
+    for (int i = 0; i < 500; i++) {
+      double score = falcon.next(queue).score();
+      assertTrue(score > 4, "drawn from the top floor(0.65 * 10) = 6: " + score);
+    }
+  }
+
+  @Test
+  void theDrawWeighsByReverseRank() {
+    List<Falcon.Waiting<String>> queue = new ArrayList<>();
+    for (int i = 0; i < 20; i++) {
+      queue.add(waiting("t" + i, Priority.NORMAL, 100 - i));
+    }
+    int[] drawn = new int[20];
+    for (int i = 0; i < 91_000; i++) {
+      drawn[Integer.parseInt(falcon.next(queue).what().substring(1))]++;
+    }
+    // 13 eligible: weights 13, 12, ... 1 of 91
+    for (int rank = 0; rank < 13; rank++) {
+      assertEquals((13 - rank) * 1000, drawn[rank], 250, "rank " + rank);
+    }
+    assertEquals(0, drawn[13]);
+  }
+
+  @Property(tries = 300, seed = "31")
+  void aHigherPriorityIsAlwaysDrawnFirst(
+      @ForAll @Size(min = 1, max = 30) List<@DoubleRange(min = 0, max = 1000) Double> scores,
+      @ForAll @Size(min = 1, max = 30) List<Priority> priorities) {
+    List<Falcon.Waiting<String>> queue = new ArrayList<>();
+    Priority highest = Priority.LOW;
+    for (int i = 0; i < scores.size(); i++) {
+      Priority priority = priorities.get(i % priorities.size());
+      queue.add(new Falcon.Waiting<>("t" + i, priority, scores.get(i), 1 + i % 4));
+      highest = priority.above(highest) ? priority : highest;
+    }
+    assertEquals(highest, falcon.next(queue).priority());
+  }
+
+  @Test
+  void anAgedSwarmEvictsNobodyOfItsOwnPriority() {
+    Falcon.Waiting<String> aged = waiting("aged", Priority.NORMAL, 5000);
+    Falcon.Running<String> fresh = new Falcon.Running<>("fresh", Priority.NORMAL, 1, 0, 50, false);
+    assertTrue(falcon.victims(aged, List.of(fresh)).isEmpty());
+    Falcon.Running<String> owed = new Falcon.Running<>("owed", Priority.NORMAL, 1, 0, 50, true);
+    assertEquals(List.of(owed), falcon.victims(aged, List.of(fresh, owed)));
+  }
+
+  @Property(tries = 300, seed = "32")
+  void victimsAreOutscoredHaveRunLittleAndTheLowestComesFirst(
+      @ForAll @Size(max = 20) List<@DoubleRange(min = 0, max = 20) Double> scores,
+      @ForAll @DoubleRange(min = 0, max = 20) double score,
+      @ForAll @DoubleRange(min = 0, max = 60) double elapsedS) {
+    List<Falcon.Running<Integer>> running = new ArrayList<>();
+    for (int i = 0; i < scores.size(); i++) {
+      running.add(new Falcon.Running<>(i, Priority.LOW, scores.get(i), elapsedS, 60, false));
+    }
+    double last = Double.NEGATIVE_INFINITY;
+    for (Falcon.Running<Integer> victim :
+        falcon.victims(waiting("w", Priority.URGENT, score), running)) {
+      assertTrue(victim.score() + Tuning.DEFAULT.margin() < score);
+      assertTrue(victim.elapsedS() <= Tuning.DEFAULT.victimShare() * 60);
+      assertFalse(victim.score() < last);
+      last = victim.score();
+    }
+  }
+}
--- /dev/null
+++ b/src/test/java/org/fieldtrestle/coordination/OperatorFileTest.java
@@ -0,0 +1,38 @@
+package org.fieldtrestle.coordination;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+
+import org.fieldtrestle.protocol.Settings;
+import org.junit.jupiter.api.Test;
+
+class OperatorFileTest {
+  @Test
+  void whatIsNotSaidHasItsDefault() throws Settings.Invalid {
+    assertEquals(Tuning.DEFAULT, OperatorFile.parse(""));
+    Tuning read =
+        OperatorFile.parse(
+            "falcon {\n  delta = 0.5\n}\neviction {\n  wait_s = 4\n}\nreserve = 2\n");
+    assertEquals(0.5, read.delta());
+    assertEquals(4, read.evictWaitS());
+    assertEquals(2, read.reserve());
+    assertEquals(Tuning.DEFAULT.margin(), read.margin());
+  }
+
+  private static void refused(String text, String field) {
+    Settings.Invalid error = assertThrows(Settings.Invalid.class, () -> OperatorFile.parse(text));
+    assertEquals(field, error.getMessage().split(":")[0]);
+  }
+
+  @Test
+  void badFiguresAreRefusedByName() {
+    refused("falcon {\n  delta = 0\n}", "falcon.delta");
+    refused("falcon {\n  delta = \"much\"\n}", "falcon.delta");
+    refused("falcon {\n  remaining_weight = 0.9\n}", "falcon.waiting_weight");
+    refused("eviction {\n  victim_share = 1.5\n}", "eviction.victim_share");
+    refused("reserve = -1", "reserve");
+    refused("falcon {\n  delta = @@\n}", "operator file");
+    refused("falcon {\n  delta = 0.5", "delta");
+    refused("falcon {\n  dleta = 0.5\n}", "falcon.dleta");
+  }
+}
--- /dev/null
+++ b/src/test/java/org/fieldtrestle/coordination/SplitTest.java
@@ -0,0 +1,70 @@
+package org.fieldtrestle.coordination;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.ArrayList;
+import java.util.List;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.constraints.IntRange;
+import net.jqwik.api.constraints.Size;
+import org.fieldtrestle.protocol.JobSpec;
+import org.fieldtrestle.protocol.Priority;
+
+class SplitTest {
+  private static JobSpec job(int tasks, boolean spread) {
+    return new JobSpec(
+        "job-1",
+        "c",
+        "t",
+        JobSpec.Kind.ARRAY,
+        Priority.NORMAL,
+        tasks,
+        4,
+        0,
+        8,
+        "img",
+        1,
+        List.of(),
+        null,
+        false,
+        spread,
+        true,
+        30,
+        0,
+        0,
+        -1);
+  }
+
+  @Property(tries = 300, seed = "21")
+  void everyTaskIsInExactlyOnePart(
+      @ForAll @IntRange(min = 1, max = 100_000) int tasks,
+      @ForAll boolean spread,
+      @ForAll @Size(min = 1, max = 5) List<@IntRange(max = 400) Integer> rooms,
+      @ForAll @IntRange(min = 5_000, max = 25_000) int maxPart) {
+    List<Split.Candidate> candidates = new ArrayList<>();
+    for (int i = 0; i < rooms.size(); i++) {
+      candidates.add(new Split.Candidate("m" + i, rooms.get(i), 10.0 * i, 100));
+    }
+    JobSpec job = job(tasks, spread);
+    List<Split.Part> parts = Split.split(job, candidates, maxPart, List.of("a", "b"));
+    int next = 0;
+    int capA = 0;
+    int capB = 0;
+    for (Split.Part part : parts) {
+      assertEquals(next, part.from());
+      assertTrue(part.to() > part.from() && part.to() - part.from() <= maxPart);
+      next = part.to();
+      capA += part.caps().getOrDefault("a", 0);
+      capB += part.caps().getOrDefault("b", 0);
+      if (spread) {
+        assertTrue(part.caps().values().stream().anyMatch(cap -> cap > 0), "can run at all");
+      }
+    }
+    assertEquals(tasks, next);
+    if (spread) {
+      assertTrue(capA <= job.zoneLimit() && capB <= job.zoneLimit());
+    }
+  }
+}
--- /dev/null
+++ b/src/test/java/org/fieldtrestle/protocol/SettingsFileTest.java
@@ -0,0 +1,88 @@
+package org.fieldtrestle.protocol;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import org.junit.jupiter.api.Test;
+
+class SettingsFileTest {
+  private static final String GOOD =
+      """
+      label = "n-0"
+      site = "a"
+      front = "127.0.0.1:8080"
+      internal_addr = "127.0.0.1:8081"
+      newer = "ignored"
+      [[others]]
+      label = "n-1"
+      site = "b"
+      peer_addr = "127.0.0.2:8081"
+      [endpoints]
+      cloud = "127.0.0.3:1"
+      state = "127.0.0.3:2"
+      [cluster]
+      zones = ["a", "b"]
+      skew_ms = 100.0
+      [[cluster.teams]]
+      name = "t"
+      cpus = 1.0
+      cpus_max = 10.0
+      gpus = 0.0
+      gpus_max = 0.0
+      [[cluster.objectives]]
+      kind = "wait"
+      class = "c"
+      within_s = 10.0
+      share = 0.9
+      [cluster.workers]
+      report_s = 2.5
+      lease_s = 16.0
+      cancel_s = 46.0
+      [cluster.state]
+      rps = 200.0
+      write_rps = 40.0
+      value_kb = 8.0
+      txn_ops = 32
+      [cluster.cloud]
+      rps = 3.0
+      list_lag_s = 6.0
+      [cluster.machine_limits]
+      cpu = 0.2
+      mem_mb = 263.0
+      fd_limit = 1800
+      """;
+
+  @Test
+  void aGoodFileIsRead() throws Settings.Invalid {
+    Settings settings = SettingsFile.parse(GOOD);
+    assertEquals("n-1", settings.peers().get(0).label());
+    assertEquals(10, settings.team("t").cpusMax());
+    // A controller's own lease, the workers' and a margin stay within a cancellation's time.
+    assertTrue(settings.stateLeaseMs() + settings.workerLeaseMs() < 46_000);
+    assertTrue(settings.stateLeaseMs() > 25_000, "outages are ridden out");
+  }
+
+  private static void refused(String from, String to, String field) {
+    assertTrue(GOOD.contains(from), from);
+    Settings.Invalid error =
+        assertThrows(Settings.Invalid.class, () -> SettingsFile.parse(GOOD.replace(from, to)));
+    assertEquals(field, error.getMessage().split(": ")[0]);
+    assertEquals(1, error.getMessage().lines().count());
+  }
+
+  @Test
+  void badFieldsAreNamed() {
+    refused("label = \"n-0\"", "", "label");
+    refused("label = \"n-1\"", "label = \"n-0\"", "others[0].label");
+    refused("front = \"127.0.0.1:8080\"", "front = \"nowhere\"", "front");
+    refused("127.0.0.3:2", "127.0.0.3:99999", "endpoints.state");
+    refused("cpus_max = 10.0", "cpus_max = -1.0", "cluster.teams[0].cpus_max");
+    refused("report_s = 2.5", "report_s = 0.0", "cluster.workers.report_s");
+    refused("cancel_s = 46.0", "cancel_s = 17.0", "cluster.workers.cancel_s");
+    refused("lease_s = 16.0", "lease_s = 4.0", "cluster.workers.lease_s");
+    refused("rps = 200.0", "rps = \"many\"", "cluster.state.rps");
+    refused("[cluster.cloud]", "[cluster.sky]", "cluster.cloud");
+    refused("label = \"n-0\"", "label = ", "file");
+  }
+}
--- /dev/null
+++ b/src/test/java/org/fieldtrestle/protocol/WiresTest.java
@@ -0,0 +1,169 @@
+package org.fieldtrestle.protocol;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.nio.ByteBuffer;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.constraints.AlphaChars;
+import net.jqwik.api.constraints.DoubleRange;
+import net.jqwik.api.constraints.IntRange;
+import net.jqwik.api.constraints.LongRange;
+import net.jqwik.api.constraints.Size;
+import net.jqwik.api.constraints.StringLength;
+import org.junit.jupiter.api.Test;
+
+class WiresTest {
+  private static ObjectNode job() {
+    return Json.object()
+        .put("uid", "job-000412")
+        .put("lot", "train")
+        .put("crew", "vision")
+        .put("cut", "array")
+        .put("urgency", "urgent")
+        .put("boards", 16)
+        .put("cpus", 8.0)
+        .put("gpus", 1.0)
+        .put("memoryGb", 64.0)
+        .put("blueprint", "img-07")
+        .put("pullGb", 6.2)
+        .put("together", true)
+        .put("scatter", false)
+        .put("loaners", true)
+        .put("expectedS", 240.0)
+        .put("tallyS", 30.0)
+        .put("stackS", 4.0);
+  }
+
+  private static byte[] utf8(String text) {
+    return text.getBytes(StandardCharsets.UTF_8);
+  }
+
+  @Test
+  void everyRequiredFieldIsRequiredAndNamed() throws Json.Malformed {
+    assertEquals(16, UserWire.readJob(Json.bytes(job())).tasks());
+    job()
+        .fieldNames()
+        .forEachRemaining(
+            field -> {
+              ObjectNode without = job();
+              without.remove(field);
+              Json.Malformed error =
+                  assertThrows(
+                      Json.Malformed.class, () -> UserWire.readJob(Json.bytes(without)), field);
+              assertEquals(field, error.getMessage());
+              for (Object bad : new Object[] {"", -1, List.of()}) {
+                ObjectNode wrong = job();
+                wrong.putPOJO(field, bad);
+                assertThrows(
+                    Json.Malformed.class,
+                    () -> UserWire.readJob(Json.bytes(wrong)),
+                    field + " " + bad);
+              }
+            });
+  }
+
+  @Test
+  void nullMeansAbsentAndUnknownFieldsAreIgnored() throws Json.Malformed {
+    ObjectNode node = job().putNull("rigs").putNull("yard").putNull("dueS").put("extra", 5);
+    JobSpec spec = UserWire.readJob(Json.bytes(node));
+    assertEquals(List.of(), spec.types());
+    assertEquals(-1, spec.deadlineS());
+    assertEquals(spec, UserWire.readJob(Json.bytes(UserWire.writeJob(spec))));
+  }
+
+  @Test
+  void countsAreWholeAndBounded() {
+    for (String boards : new String[] {"0", "100001", "1.5", "99999999999999999999", "true"}) {
+      String text =
+          new String(Json.bytes(job()), StandardCharsets.UTF_8)
+              .replace("\"boards\":16", "\"boards\":" + boards);
+      assertThrows(Json.Malformed.class, () -> UserWire.readJob(utf8(text)), boards);
+    }
+    String endless =
+        new String(Json.bytes(job()), StandardCharsets.UTF_8)
+            .replace("\"cpus\":8.0", "\"cpus\":1e400");
+    assertThrows(Json.Malformed.class, () -> UserWire.readJob(utf8(endless)));
+    for (String body : new String[] {"", "[]", "7", "{", "{}x", "null", "\"a\"", "{\"uid\":"}) {
+      assertThrows(Json.Malformed.class, () -> UserWire.readJob(utf8(body)), body);
+    }
+  }
+
+  @Property(tries = 500, seed = "41")
+  void noBytesMakeAReaderFailOtherwiseThanByName(@ForAll byte[] noise) {
+    try {
+      UserWire.readJob(noise);
+    } catch (Json.Malformed e) {
+      assertTrue(e.getMessage() != null);
+    }
+    try {
+      WorkerWire.readReport(noise);
+    } catch (Json.Malformed e) {
+      assertTrue(e.getMessage() != null);
+    }
+    try {
+      PeerWire.decode(ByteBuffer.wrap(noise));
+    } catch (PeerWire.BadFrame e) {
+      assertTrue(e.getMessage() != null);
+    }
+  }
+
+  @Property(tries = 300, seed = "42")
+  void framesAreReadAsTheyWereWrittenAndEveryCutOneIsRefused(
+      @ForAll @AlphaChars @StringLength(min = 1, max = 20) String sender,
+      @ForAll @LongRange(min = 0) long epoch,
+      @ForAll @DoubleRange(min = 0, max = 1e9) double amount,
+      @ForAll @IntRange(max = 10) int rooms)
+      throws PeerWire.BadFrame {
+    List<PeerWire.Room> all = new ArrayList<>();
+    for (int i = 0; i < rooms; i++) {
+      all.add(new PeerWire.Room("zone-" + i, amount, i, amount / 2));
+    }
+    PeerWire.Load load = new PeerWire.Load(sender, "m", epoch, amount, amount * 2, all);
+    ByteBuffer frame = PeerWire.encode(load);
+    assertEquals(frame.remaining() - 4, frame.getInt());
+    byte[] body = new byte[frame.remaining()];
+    frame.get(body);
+    assertEquals(load, PeerWire.decode(ByteBuffer.wrap(body)));
+    for (int cut = 0; cut < body.length; cut++) {
+      ByteBuffer shorter = ByteBuffer.wrap(body, 0, cut);
+      assertThrows(PeerWire.BadFrame.class, () -> PeerWire.decode(shorter));
+    }
+  }
+
+  @Property(tries = 200, seed = "43")
+  void reportsAreReadWithAllTheirTasks(
+      @ForAll @LongRange(min = 0, max = 1L << 60) long token,
+      @ForAll @Size(max = 20) List<@IntRange(max = 99_999) Integer> indexes)
+      throws Json.Malformed {
+    ObjectNode report =
+        Json.object()
+            .put("bench", "host-000231")
+            .put("address", "10.1.0.232:9000")
+            .put("rig", "g8")
+            .put("yard", "a")
+            .put("loaners", true)
+            .put("shift", 1)
+            .put("tally", 88)
+            .put("warrant", token)
+            .putNull("recallS");
+    var list = report.putArray("boards");
+    for (int index : indexes) {
+      list.addObject()
+          .put("board", "job-000412/" + index)
+          .put("try", 2)
+          .put("stage", "exited")
+          .put("cause", "done");
+    }
+    WorkerWire.Report read = WorkerWire.readReport(Json.bytes(report));
+    assertEquals(token, read.token());
+    assertEquals(indexes, read.tasks().stream().map(t -> t.task().index()).toList());
+    assertTrue(read.tasks().stream().allMatch(t -> t.cause() == WorkerWire.Cause.DONE));
+  }
+}
