Failures are counted across retries; damaged jobs answer from their ranges

Cause: the count of a task's failures was lost when it was placed again, so a job that fails everywhere was retried every few seconds (400 starts in 250 s simulated); and a job under a damaged record could not be asked about. Both found by the new containment tests. Isolation and takings join the histories.

--- a/src/main/java/org/fieldtrestle/coordination/Faults.java
+++ b/src/main/java/org/fieldtrestle/coordination/Faults.java
@@ -45,7 +45,7 @@
   }
 
   /** A task failed; decides where and when it, and its machine's others, go next. */
-  void failed(Placed task, OwnedRange range, int offset, OwnedRange.Retry retry, long now) {
+  void failed(Placed task, OwnedRange.Retry retry, int failures, long now) {
     String id = task.task.job();
     Host host = task.host;
     JobRecord job = jobs.computeIfAbsent(id, j -> new JobRecord());
@@ -64,7 +64,7 @@
         }
       }
     }
-    long pause = master.node.reportMs(0.5) << Math.min(retry.failures, 5);
+    long pause = master.node.reportMs(0.5) << Math.min(failures, 5);
     retry.notBefore = now + (job.suspect ? pause : 0);
     if (job.suspect) {
       return;
@@ -85,11 +85,6 @@
     return job != null && !job.suspect && job.failedOn.contains(host.id);
   }
 
-  int failuresOf(OwnedRange range, int offset) {
-    OwnedRange.Retry retry = range.retries.get(offset);
-    return retry == null ? 0 : retry.failures;
-  }
-
   void forgetEnded() {
     jobs.keySet().removeIf(id -> master.node.view().job(id) == null);
   }
--- a/src/main/java/org/fieldtrestle/coordination/Gateway.java
+++ b/src/main/java/org/fieldtrestle/coordination/Gateway.java
@@ -277,7 +277,10 @@
           if (job != null) {
             reply.accept(liveAnswer(id, job, brief));
           } else if (node.view().version(Records.job(id)) != 0) {
-            reply.accept(later()); // there, but not to be read by this version
+            // There, but not to be read by this version. Its ranges show that it was accepted.
+            View.LiveJob rest = node.view().all().get(id);
+            reply.accept(
+                rest == null || rest.ranges().isEmpty() ? later() : liveAnswer(id, rest, brief));
           } else {
             readFinal(id, reply, brief);
           }
--- a/src/main/java/org/fieldtrestle/coordination/Master.java
+++ b/src/main/java/org/fieldtrestle/coordination/Master.java
@@ -445,15 +445,12 @@
     if (range.placed.get(offset) != task) {
       return;
     }
-    OwnedRange.Retry before = new OwnedRange.Retry();
-    before.failures = faults.failuresOf(range, offset);
-    OwnedRange.Retry retry = range.again(offset, task.waitingSince(), before.failures);
+    OwnedRange.Retry retry = range.again(offset, task.waitingSince());
     switch (cause) {
       case ERROR -> {
         // Waiting starts anew: a task that fails everywhere must not age into evicting others.
         retry.waitingSince = now;
-        retry.failures++;
-        faults.failed(task, range, offset, retry, now);
+        faults.failed(task, retry, range.failures.addTo(offset, 1) + 1, now);
       }
       case NO_ROOM, BUSY, UNKNOWN -> {
         retry.notBefore = now + node.reportMs(0.5);
@@ -473,7 +470,7 @@
     }
     int offset = task.task.index() - range.record.from();
     if (range.placed.get(offset) == task) {
-      range.again(offset, waitingSince, faults.failuresOf(range, offset));
+      range.again(offset, waitingSince);
       windUp(range);
     }
   }
--- a/src/main/java/org/fieldtrestle/coordination/OwnedRange.java
+++ b/src/main/java/org/fieldtrestle/coordination/OwnedRange.java
@@ -1,5 +1,6 @@
 package org.fieldtrestle.coordination;
 
+import it.unimi.dsi.fastutil.ints.Int2IntOpenHashMap;
 import it.unimi.dsi.fastutil.ints.Int2ObjectMap;
 import it.unimi.dsi.fastutil.ints.Int2ObjectOpenHashMap;
 import java.util.BitSet;
@@ -12,7 +13,6 @@
   static final class Retry {
     long waitingSince;
     long notBefore;
-    int failures;
   }
 
   final Records.RangeKey key;
@@ -41,6 +41,9 @@
   final Int2ObjectMap<Placed> placed = new Int2ObjectOpenHashMap<>();
   final Int2ObjectMap<Retry> retries = new Int2ObjectOpenHashMap<>();
 
+  /** How often tasks have failed; outlives their being placed again. */
+  final Int2IntOpenHashMap failures = new Int2IntOpenHashMap();
+
   /** Tasks that wait and have not been on a machine in this epoch. */
   final BitSet fresh = new BitSet();
 
@@ -72,11 +75,10 @@
   }
 
   /** The task is nowhere now and waits again. */
-  Retry again(int offset, long waitingSince, int failures) {
+  Retry again(int offset, long waitingSince) {
     placed.remove(offset);
     Retry retry = new Retry();
     retry.waitingSince = waitingSince;
-    retry.failures = failures;
     if (!isDone(offset) && !finished.get(offset)) {
       retries.put(offset, retry);
     }
--- a/src/test/java/org/fieldtrestle/rehearsal/HistoriesTest.java
+++ b/src/test/java/org/fieldtrestle/rehearsal/HistoriesTest.java
@@ -96,7 +96,7 @@
     WorkerStandIn machine =
         machines.isEmpty() ? null : machines.get((int) world.between(0, machines.size() - 1));
     String label = scene.labels().get((int) world.between(0, 2));
-    int kind = (int) world.between(0, 9);
+    int kind = (int) world.between(0, 11);
     LOG.debug(
         "{} ms: trouble {} {} {}", world.now(), kind, label, machine == null ? "" : machine.id);
     switch (kind) {
@@ -137,6 +137,18 @@
         }
       }
       case 8 -> scene.state.compact();
+      case 9 -> {
+        long ms = world.between(5000, 70_000);
+        scene.trouble(ms);
+        scene.isolate(label, ms);
+      }
+      case 10 -> { // a wave of takings, with no notice
+        for (WorkerStandIn taken : machines) {
+          if (taken.spot && world.chance(0.6)) {
+            scene.cloud.remove(taken.id);
+          }
+        }
+      }
       default -> {
         if (machine != null) {
           machine.failsTasks = true;
--- a/src/test/java/org/fieldtrestle/rehearsal/Scene.java
+++ b/src/test/java/org/fieldtrestle/rehearsal/Scene.java
@@ -56,6 +56,7 @@
   final long cancelMs = 46_000;
   private final Map<String, Process> processes = new HashMap<>();
   private final Map<String, String> zoneOf = new HashMap<>();
+  private final Map<String, Long> isolatedUntil = new HashMap<>();
   private long calmSince;
 
   Scene(RandomGenerator random, int capacity) {
@@ -133,9 +134,26 @@
         world.process(
             () -> process.alive, world.random.nextDouble() * 0.0005, world.between(-100, 100));
     Http.Caller caller =
-        (address, method, path, body, timeoutMs, done) ->
-            net.call(
-                zone(label), () -> process.alive, address, method, path, body, timeoutMs, done);
+        (address, method, path, body, timeoutMs, done) -> {
+          if (address.equals(STATE) && isolated(label) > 0) {
+            world.after(
+                2, () -> process.alive, () -> done.accept(new Http.Answer(503, new byte[0])));
+            return;
+          }
+          net.call(
+              zone(label),
+              () -> process.alive,
+              address,
+              method,
+              path,
+              body,
+              timeoutMs,
+              outcome -> {
+                // Watches that are open wait as they would in an outage.
+                long wait = path.startsWith("/watch") ? isolated(label) : 0;
+                world.after(wait, () -> process.alive, () -> done.accept(outcome));
+              });
+        };
     process.controller =
         new Controller(
             settings(label),
@@ -174,6 +192,15 @@
     world.after(backAfterMs, () -> start(label));
   }
 
+  /** The state service alone refuses everything that this controller asks. */
+  void isolate(String label, long ms) {
+    isolatedUntil.put(label, world.now() + ms);
+  }
+
+  private long isolated(String label) {
+    return Math.max(0, isolatedUntil.getOrDefault(label, 0L) - world.now());
+  }
+
   /** Notes that something is being done to the service. */
   void trouble(long forMs) {
     calmSince = Math.max(calmSince, world.now() + forMs);
