--- a/src/main/java/org/fieldtrestle/coordination/Gateway.java
+++ b/src/main/java/org/fieldtrestle/coordination/Gateway.java
@@ -338,6 +338,10 @@
       return;
     }
     View.LiveJob job = node.view().job(id);
+    if (job == null && node.view().version(Records.job(id)) != 0) {
+      reply.accept(later()); // a record that we cannot read is not ours to end
+      return;
+    }
     if (job == null) {
       status(id, reply, true);
       return;
