--- a/src/main/java/org/fieldtrestle/coordination/Faults.java
+++ b/src/main/java/org/fieldtrestle/coordination/Faults.java
@@ -21,7 +21,18 @@
   /** Failures of unsuspected jobs without a success between them that condemn a machine. */
   private static final int FAULTY_AFTER = 2;
 
+  /** How many times a job's usual run time makes a task evidence against its machine. */
+  private static final double CRAWLS_AT = 2.5;
+
+  /** Tasks of a job that must have finished elsewhere before its run time counts as usual. */
+  private static final int USUAL_AFTER = 3;
+
+  /** Tasks that crawled on a machine before it is replaced. */
+  private static final int CRAWLER_AFTER = 2;
+
   private static final class JobRecord {
+    double runSeconds;
+    int runs;
     final Set<String> failedOn = new HashSet<>();
     boolean succeeded;
     boolean suspect;
@@ -37,11 +48,39 @@
   void succeeded(Placed task, long now) {
     task.host.errors = 0;
     task.host.errorJobs.clear();
+    JobRecord job = jobs.computeIfAbsent(task.task.job(), j -> new JobRecord());
+    job.succeeded = true;
+    job.suspect = false;
+    crawled(task, now);
+    if (task.runningSince >= 0) {
+      job.runSeconds += task.elapsedS(now);
+      job.runs++;
+    }
+  }
+
+  /**
+   * Looks whether a task takes much longer than its job's others did. Estimates say little about a
+   * machine, as they are often wrong by half; the job's own tasks elsewhere say more.
+   */
+  void crawled(Placed task, long now) {
     JobRecord job = jobs.get(task.task.job());
-    if (job != null) {
-      job.succeeded = true;
-      job.suspect = false;
+    Host host = task.host;
+    if (job == null
+        || job.runs < USUAL_AFTER
+        || task.elapsedS(now) < CRAWLS_AT * job.runSeconds / job.runs
+        || !host.crawled.add(task.task)
+        || host.crawled.size() < CRAWLER_AFTER
+        || host.draining) {
+      return;
     }
+    host.draining = true;
+    host.drainReason = "crawls";
+    LOG.warn(
+        "machine {} crawls: {} took {} s, usual {} s",
+        host.id,
+        task.task,
+        Math.round(task.elapsedS(now)),
+        Math.round(job.runSeconds / job.runs));
   }
 
   /** A task failed; decides where and when it, and its machine's others, go next. */
--- a/src/main/java/org/fieldtrestle/coordination/Fleet.java
+++ b/src/main/java/org/fieldtrestle/coordination/Fleet.java
@@ -83,6 +83,11 @@
     if (host.draining || type == null) {
       return;
     }
+    for (Placed task : host.placed.values()) {
+      if (task.state == Placed.State.RUNNING) {
+        faults.crawled(task, now);
+      }
+    }
     if (host.heardAt < 0 && !host.up && host.ageMs(now) > type.bootS() * 3500) {
       drain(host, "never came up");
       return;
--- a/src/main/java/org/fieldtrestle/coordination/Host.java
+++ b/src/main/java/org/fieldtrestle/coordination/Host.java
@@ -61,6 +61,9 @@
   int errors;
   final Set<String> errorJobs = new HashSet<>();
 
+  /** Tasks that took much longer here than their jobs' others elsewhere. */
+  final Set<TaskId> crawled = new HashSet<>();
+
   final Map<TaskId, Placed> placed = new HashMap<>();
 
   /** Reported tasks that no range of ours knows: only to be stopped and cleared. */
--- a/src/test/java/org/fieldtrestle/rehearsal/ContainmentTest.java
+++ b/src/test/java/org/fieldtrestle/rehearsal/ContainmentTest.java
@@ -105,6 +105,28 @@
     assertFalse(scene.cloud.machines.containsKey(bad), "the faulty machine was returned");
   }
 
+  @Test
+  void aMachineThatCrawlsIsReplaced() {
+    for (int i = 0; i < 4; i++) {
+      scene.submit(
+          "job-" + i,
+          job -> {
+            job.tasks = 40;
+            job.runMs = 10_000;
+          });
+    }
+    scene.world.runUntil(22_000);
+    String slow = scene.cloud.machines.firstKey();
+    scene.cloud.machines.get(slow).slowness = 6;
+    scene.world.runUntil(300_000);
+    assertQuiet();
+    for (int i = 0; i < 4; i++) {
+      assertEquals("done", scene.rules.lastOf("job-" + i));
+    }
+    assertFalse(scene.cloud.machines.containsKey(slow), "the slow machine was returned");
+    assertTrue(scene.rules.startsOn(slow) < 40, "and given little more");
+  }
+
   @Test
   void aHundredThousandTasksFit() {
     scene.submit("job-1", job -> job.tasks = 100_000);
--- a/src/test/java/org/fieldtrestle/rehearsal/Rules.java
+++ b/src/test/java/org/fieldtrestle/rehearsal/Rules.java
@@ -21,6 +21,7 @@
   private final Map<String, Long> toldCancelled = new HashMap<>();
   private final Set<String> accepted = new HashSet<>();
   private final Map<String, Long> failingSince = new HashMap<>();
+  private final Map<String, Integer> startsOn = new HashMap<>();
   int starts;
   int done;
 
@@ -43,8 +44,13 @@
     return task.substring(0, task.lastIndexOf('/'));
   }
 
+  int startsOn(String machine) {
+    return startsOn.getOrDefault(machine, 0);
+  }
+
   void started(String task, WorkerStandIn machine) {
     starts++;
+    startsOn.merge(machine.id, 1, Integer::sum);
     trace(task + " starts on " + machine.id);
     Set<String> places = on.computeIfAbsent(task, t -> new HashSet<>());
     if (!places.isEmpty()) {
