--- a/src/main/java/org/fieldtrestle/Main.java
+++ b/src/main/java/org/fieldtrestle/Main.java
@@ -52,6 +52,15 @@
   }
 
   public static void main(String[] args) {
+    prepare();
+    int code = new CommandLine(new Main()).execute(args);
+    if (code != 0) {
+      System.exit(code);
+    }
+  }
+
+  /** What the libraries have to know before any of them is touched. */
+  static void prepare() {
     String level = System.getenv().getOrDefault("LOG_LEVEL", "info");
     System.setProperty("org.slf4j.simpleLogger.defaultLogLevel", level);
     System.setProperty("org.slf4j.simpleLogger.log.io.netty", "warn");
@@ -63,10 +72,6 @@
     System.setProperty("io.netty.allocator.type", "unpooled");
     // Or Netty looks through the network interfaces for a name of its own at every start.
     System.setProperty("io.netty.machineId", "00:00:00:00:00:01");
-    int code = new CommandLine(new Main()).execute(args);
-    if (code != 0) {
-      System.exit(code);
-    }
   }
 
   @Override
--- a/src/main/java/org/fieldtrestle/coordination/Fleet.java
+++ b/src/main/java/org/fieldtrestle/coordination/Fleet.java
@@ -171,7 +171,7 @@
 
   private boolean silent(Host host, long now) {
     long since = Math.max(host.heardAt, host.leaseFrom);
-    return now - since > node.reportMs(4);
+    return now - since > node.reportMs(3.2);
   }
 
   /** Most of a zone silent at once is a cut, not the machines. */
