--- a/src/main/java/org/fieldtrestle/coordination/Host.java
+++ b/src/main/java/org/fieldtrestle/coordination/Host.java
@@ -64,6 +64,11 @@
   /** Tasks that took much longer here than their jobs' others elsewhere. */
   final Set<TaskId> crawled = new HashSet<>();
 
+  /** The range for which tasks were evicted here, and until when its room is kept for it. */
+  private OwnedRange claim;
+
+  private long claimUntil;
+
   final Map<TaskId, Placed> placed = new HashMap<>();
 
   /** Reported tasks that no range of ours knows: only to be stopped and cleared. */
@@ -95,6 +100,25 @@
     return now - since + bootedAlreadyMs;
   }
 
+  /** Keeps what an eviction frees for whom it was meant, or the victim would take it back. */
+  void claim(OwnedRange range, long until) {
+    claim = range;
+    claimUntil = until;
+  }
+
+  boolean claimedBy(OwnedRange range, long now) {
+    return claim == range && now < claimUntil;
+  }
+
+  boolean claimedFrom(OwnedRange range, long now) {
+    return claim != null
+        && claim != range
+        && now < claimUntil
+        && claim.spec != null
+        && claim.waiting() > 0
+        && !range.spec.priority().above(claim.spec.priority());
+  }
+
   /** Nothing that we sent can still be executed late. */
   boolean quiet() {
     return !directBusy && seenToken >= fence;
--- a/src/main/java/org/fieldtrestle/coordination/Master.java
+++ b/src/main/java/org/fieldtrestle/coordination/Master.java
@@ -3,8 +3,10 @@
 import java.util.ArrayList;
 import java.util.BitSet;
 import java.util.Collection;
+import java.util.Comparator;
 import java.util.HashMap;
 import java.util.HashSet;
+import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
@@ -944,6 +946,7 @@
       Host.Room room = kept(range.spec, rooms) ? null : choose(rooms, range, next.what());
       if (room != null
           && !room.host.hasImage(range.spec.image())
+          && !room.host.claimedBy(range, now)
           && (withImage ? !pressing(next.what(), now) : patient(next, groups, stuck))) {
         room = null;
       }
@@ -1103,11 +1106,13 @@
     boolean bestHas = false;
     double bestLeft = 0;
     for (Host.Room room : rooms) {
-      if (!room.fits(spec) || !allowed(range, offset, room.host)) {
+      if (!room.fits(spec)
+          || !allowed(range, offset, room.host)
+          || room.host.claimedFrom(range, node.now())) {
         continue;
       }
       boolean has = room.host.hasImage(spec.image());
-      if (!has && !hurried && room.host.fetching()) {
+      if (!has && !hurried && room.host.fetching() && !room.host.claimedBy(range, node.now())) {
         // Two fetches at once share the line: both tasks start when the later would have anyway.
         continue;
       }
@@ -1160,8 +1165,12 @@
     }
     lastEviction = now;
     // What is on its way out already makes room for as many as fit it: no more are needed.
-    Map<Falcon.Waiting<Group>, Integer> unmet = new HashMap<>();
-    stuck.forEach(one -> unmet.put(one, one.count()));
+    Map<Falcon.Waiting<Group>, Integer> unmet = new LinkedHashMap<>();
+    stuck.stream()
+        .sorted(
+            Comparator.comparing((Falcon.Waiting<Group> one) -> one.priority())
+                .thenComparing(Comparator.comparingDouble(Falcon.Waiting<Group>::score).reversed()))
+        .forEach(one -> unmet.put(one, one.count()));
     for (Host host : hosts.values()) {
       MachineType type = node.type(host.type);
       if (type == null || !usable(host, now)) {
@@ -1195,8 +1204,15 @@
         }
       }
       if (!ready.isEmpty()) {
-        double freed = evictFor(falcon.next(ready), host, type, now);
-        meet(unmet, freed);
+        Falcon.Waiting<Group> drawn = falcon.next(ready);
+        double freed = evictFor(drawn, host, type, now);
+        if (freed > 0) {
+          OwnedRange range = drawn.what().range();
+          host.claim(range, now + node.reportMs(2));
+          // At least one is met, or the next machine would evict for the same task again.
+          int met = Math.max(1, (int) Math.floor(freed / Math.max(0.1, range.record.cpus())));
+          unmet.merge(drawn, -met, (left, less) -> Math.max(0, left + less));
+        }
       }
     }
   }
