--- a/src/main/java/org/fieldtrestle/coordination/Controller.java
+++ b/src/main/java/org/fieldtrestle/coordination/Controller.java
@@ -290,18 +290,13 @@
       return;
     }
     LOG.info("machine {} reports and is nobody's, adopting it", id);
-    Records.Machine record =
-        new Records.Machine(
-            master.name,
-            report.type(),
-            report.zone(),
-            report.spot(),
-            report.address(),
-            reactor.wall(),
-            true);
-    master.write(
-        List.of(new StateWire.Condition(Records.machine(id), 0)),
-        List.of(new StateWire.Put(Records.machine(id), Records.write(record), 0)),
-        committed -> adopting.remove(id));
+    master.own(
+        id,
+        report.type(),
+        report.zone(),
+        report.spot(),
+        report.address(),
+        true,
+        owned -> adopting.remove(id));
   }
 }
--- a/src/main/java/org/fieldtrestle/coordination/Fleet.java
+++ b/src/main/java/org/fieldtrestle/coordination/Fleet.java
@@ -229,10 +229,7 @@
       // Charged until it is taken; it may finish what it has until then.
       return host.empty() || now > host.noticeUntil + node.reportMs(1) && silent(host, now);
     }
-    return host.empty() && host.quiet()
-        || host.lost
-        || silent(host, now)
-        || host.drainReason.equals("fails its tasks") && host.empty();
+    return host.empty() && host.quiet() || host.lost || silent(host, now);
   }
 
   /** The cloud has answered: the machine and all that was on it are gone. */
@@ -317,16 +314,7 @@
       return;
     }
     LOG.info("machine {} is nobody's, adopting it", one.machine());
-    adopt(one.machine(), one.type(), one.zone(), one.spot(), one.address(), true);
-  }
-
-  void adopt(String id, String type, String zone, boolean spot, String address, boolean up) {
-    Records.Machine record =
-        new Records.Machine(master.name, type, zone, spot, address, node.reactor().wall(), up);
-    master.write(
-        List.of(new StateWire.Condition(Records.machine(id), 0)),
-        List.of(new StateWire.Put(Records.machine(id), Records.write(record), 0)),
-        committed -> {});
+    master.own(one.machine(), one.type(), one.zone(), one.spot(), one.address(), true, owned -> {});
   }
 
   // ---- renting
@@ -607,13 +595,15 @@
     if (master.isOver() || node.view().machines().containsKey(id)) {
       return;
     }
-    Records.Machine record =
-        new Records.Machine(master.name, type, zone, spot, "", node.reactor().wall(), false);
-    master.write(
-        List.of(new StateWire.Condition(Records.machine(id), 0)),
-        List.of(new StateWire.Put(Records.machine(id), Records.write(record), 0)),
-        committed -> {
-          if (!committed) {
+    master.own(
+        id,
+        type,
+        zone,
+        spot,
+        "",
+        false,
+        owned -> {
+          if (!owned) {
             record(id, type, zone, spot);
           }
         });
--- a/src/main/java/org/fieldtrestle/coordination/Master.java
+++ b/src/main/java/org/fieldtrestle/coordination/Master.java
@@ -2,7 +2,6 @@
 
 import java.util.ArrayList;
 import java.util.BitSet;
-import java.util.Collection;
 import java.util.Comparator;
 import java.util.HashMap;
 import java.util.HashSet;
@@ -275,6 +274,23 @@
         });
   }
 
+  /** Makes a machine that has no record this master's, unless somebody else is quicker. */
+  void own(
+      String id,
+      String type,
+      String zone,
+      boolean spot,
+      String address,
+      boolean up,
+      Consumer<Boolean> done) {
+    Records.Machine record =
+        new Records.Machine(name, type, zone, spot, address, reactor.wall(), up);
+    write(
+        List.of(new StateWire.Condition(Records.machine(id), 0)),
+        List.of(new StateWire.Put(Records.machine(id), Records.write(record), 0)),
+        done);
+  }
+
   /** Takes in a report, or the report in the answer to a direct command. */
   private void learn(Host host, WorkerWire.Report report) {
     long now = node.now();
@@ -1410,10 +1426,6 @@
     return count;
   }
 
-  Collection<Host> allHosts() {
-    return hosts.values();
-  }
-
   /** Used amounts by team, CPUs and GPUs, everything counted that may be on a machine. */
   Map<String, double[]> usage() {
     Map<String, double[]> usage = new HashMap<>();
--- a/src/main/java/org/fieldtrestle/coordination/Membership.java
+++ b/src/main/java/org/fieldtrestle/coordination/Membership.java
@@ -75,10 +75,6 @@
     return Math.round(ttlMs * (1 - Settings.DRIFT)) - 50;
   }
 
-  public Long epoch(String master) {
-    return held.get(master);
-  }
-
   public String self() {
     return self;
   }
