--- a/src/main/java/org/fieldtrestle/coordination/Faults.java
+++ b/src/main/java/org/fieldtrestle/coordination/Faults.java
@@ -73,8 +73,7 @@
         || host.draining) {
       return;
     }
-    host.draining = true;
-    host.drainReason = "crawls";
+    host.drain("crawls");
     LOG.warn(
         "machine {} crawls: {} took {} s, usual {} s",
         host.id,
@@ -112,8 +111,7 @@
     host.errorJobs.add(id);
     host.quarantineUntil = now + master.node.reportMs(4);
     if (host.errors >= FAULTY_AFTER && !host.draining) {
-      host.draining = true;
-      host.drainReason = "fails its tasks";
+      host.drain("fails its tasks");
       LOG.warn("machine {} fails its tasks, last of {}", host.id, id);
     }
   }
--- a/src/main/java/org/fieldtrestle/coordination/Fleet.java
+++ b/src/main/java/org/fieldtrestle/coordination/Fleet.java
@@ -190,8 +190,7 @@
   }
 
   private void drain(Host host, String why) {
-    host.draining = true;
-    host.drainReason = why;
+    host.drain(why);
     LOG.info("machine {} goes: {}", host.id, why);
   }
 
--- a/src/main/java/org/fieldtrestle/coordination/Host.java
+++ b/src/main/java/org/fieldtrestle/coordination/Host.java
@@ -48,6 +48,7 @@
   boolean lost;
 
   final long since;
+  private long bootedAlreadyMs;
   long noticeUntil = -1;
   boolean draining;
 
@@ -89,7 +90,11 @@
     this.leaseFrom = now;
   }
 
-  private long bootedAlreadyMs;
+  /** It is to go, and takes nothing new. */
+  void drain(String why) {
+    draining = true;
+    drainReason = why;
+  }
 
   /** Its record is older than our knowledge of it. */
   void bootingFor(long ms) {
--- a/src/main/java/org/fieldtrestle/coordination/Master.java
+++ b/src/main/java/org/fieldtrestle/coordination/Master.java
@@ -81,7 +81,6 @@
   private final Faults faults;
   private final Rehand rehand;
   private final boolean othersMayAct;
-  private final long begunAt;
   private boolean active;
   private boolean over;
   private long attempts;
@@ -96,7 +95,6 @@
     this.name = name;
     this.epoch = epoch;
     this.othersMayAct = othersMayAct;
-    this.begunAt = node.now();
     this.falcon = new Falcon(node.tuning(), node.random());
     this.faults = new Faults(this);
     this.fleet = new Fleet(this, faults);
@@ -357,7 +355,7 @@
       } else if (task.state != Placed.State.STARTING || task.stop) {
         // Gone, unless a start of unknown fate may still bring it back.
         if (host.quiet()) {
-          gone(task, task.waitingSince());
+          gone(task);
         }
       }
     }
@@ -480,7 +478,7 @@
   }
 
   /** The machine does not have this task any more, nor can it get it by anything we sent. */
-  private void gone(Placed task, long waitingSince) {
+  private void gone(Placed task) {
     task.host.placed.remove(task.task);
     OwnedRange range = task.range;
     if (range == null) {
@@ -488,7 +486,7 @@
     }
     int offset = task.task.index() - range.record.from();
     if (range.placed.get(offset) == task) {
-      range.again(offset, waitingSince);
+      range.again(offset, task.waitingSince());
       windUp(range);
     }
   }
@@ -502,7 +500,7 @@
         if (task.live()) {
           lost++;
         }
-        gone(task, task.waitingSince());
+        gone(task);
       }
     }
     if (lost > 0) {
@@ -522,8 +520,7 @@
     }
     host.noticeUntil = node.now() + Math.round(noticeS * 1000);
     if (!host.draining) {
-      host.draining = true;
-      host.drainReason = "spot notice";
+      host.drain("spot notice");
       LOG.info("machine {} will be taken in {} s", host.id, noticeS);
     }
     for (Placed task : List.copyOf(host.placed.values())) {
@@ -546,7 +543,7 @@
     task.stopSent = false;
     task.graceS = graceS;
     if (task.state == Placed.State.STARTING && !task.startSent) {
-      gone(task, task.waitingSince());
+      gone(task);
     }
   }
 
@@ -821,6 +818,11 @@
     boolean isFresh() {
       return offset < 0;
     }
+
+    /** The task of it that goes next; below 0 where none is left. */
+    int first() {
+      return isFresh() ? range.fresh.nextSetBit(0) : offset;
+    }
   }
 
   private List<Falcon.Waiting<Group>> waitingGroups(long now) {
@@ -970,7 +972,7 @@
         stuck.add(next);
         continue;
       }
-      int offset = next.what().isFresh() ? range.fresh.nextSetBit(0) : next.what().offset();
+      int offset = next.what().first();
       place(range, offset, room.host, firstToken() + ++attempts, now);
       room.take(range.spec);
       if (next.count() > 1) {
@@ -1110,9 +1112,7 @@
 
   /** The fitting machine with the least room left, of those that have the image if any has it. */
   private Host.Room choose(List<Host.Room> rooms, OwnedRange range, Group group) {
-    return shares.allows(range.spec)
-        ? choose(rooms, range, group.isFresh() ? range.fresh.nextSetBit(0) : group.offset())
-        : null;
+    return shares.allows(range.spec) ? choose(rooms, range, group.first()) : null;
   }
 
   private Host.Room choose(List<Host.Room> rooms, OwnedRange range, int offset) {
@@ -1203,7 +1203,7 @@
       List<Falcon.Waiting<Group>> queue = new ArrayList<>();
       for (Falcon.Waiting<Group> one : stuck) {
         OwnedRange range = one.what().range();
-        int offset = one.what().isFresh() ? range.fresh.nextSetBit(0) : one.what().offset();
+        int offset = one.what().first();
         if (offset >= 0
             && type.fits(range.spec)
             && allowed(range, offset, host)
