--- a/src/main/java/org/fieldtrestle/coordination/Falcon.java
+++ b/src/main/java/org/fieldtrestle/coordination/Falcon.java
@@ -56,6 +56,85 @@
     return draw(ranked, eligible);
   }
 
+  /**
+   * Draws one task after the other from the same waiting groups, as {@link #next} would from the
+   * list that is left each time. Scores do not change meanwhile, so that one sorting serves all.
+   */
+  public final class Queue<T> {
+    private final List<Slot<T>> slots = new ArrayList<>();
+
+    /** The first slot of the highest priority of which something is left. */
+    private int first;
+
+    public Queue(List<Waiting<T>> waiting) {
+      for (Waiting<T> one : waiting) {
+        if (one.count() > 0) {
+          slots.add(new Slot<>(one));
+        }
+      }
+      slots.sort(
+          Comparator.comparing((Slot<T> s) -> s.group.priority())
+              .thenComparing((a, b) -> Double.compare(b.group.score(), a.group.score())));
+    }
+
+    /** The group whose task goes next; null once nothing is left. */
+    public Slot<T> next() {
+      while (first < slots.size() && slots.get(first).left == 0) {
+        first++;
+      }
+      if (first == slots.size()) {
+        return null;
+      }
+      Priority highest = slots.get(first).group.priority();
+      long k = 0;
+      int end = first;
+      while (end < slots.size() && slots.get(end).group.priority() == highest) {
+        k += slots.get(end++).left;
+      }
+      long eligible = Math.max(1, (long) Math.floor((1 - tuning.delta()) * k));
+      double at = random.nextDouble() * (eligible * (eligible + 1) / 2.0);
+      long rank = 0;
+      for (int i = first; i < end; i++) {
+        Slot<T> slot = slots.get(i);
+        long last = Math.min(eligible, rank + slot.left);
+        long taken = last - rank;
+        double weight = taken * ((eligible - rank) + (eligible - last + 1)) / 2.0;
+        if (slot.left > 0 && (at < weight || last == eligible)) {
+          return slot;
+        }
+        at -= weight;
+        rank = last;
+      }
+      throw new IllegalStateException("the eligible are among those that are left");
+    }
+  }
+
+  /** A waiting group in a {@link Queue}, and how many of its tasks are left there. */
+  public static final class Slot<T> {
+    private final Waiting<T> group;
+    private int left;
+
+    Slot(Waiting<T> group) {
+      this.group = group;
+      this.left = group.count();
+    }
+
+    public Waiting<T> group() {
+      return group;
+    }
+
+    public void takeOne() {
+      left--;
+    }
+
+    /** Takes all that are left out of the queue; how many they are. */
+    public int takeAll() {
+      int all = left;
+      left = 0;
+      return all;
+    }
+  }
+
   /** Reverse-rank draw among the first {@code eligible} tasks of groups in falling order. */
   private <T> Waiting<T> draw(List<Waiting<T>> ranked, long eligible) {
     double total = eligible * (eligible + 1) / 2.0;
@@ -94,6 +173,40 @@
     return k > 0 && less >= tuning.delta() * k;
   }
 
+  /**
+   * All for which {@link #outscoresEnough} holds, without comparing each with each: what a group
+   * outscores is what is of a lower priority, or of its own with a lower score.
+   */
+  public <T> List<Waiting<T>> outscoringEnough(List<Waiting<T>> waiting) {
+    List<Waiting<T>> rising = new ArrayList<>(waiting);
+    rising.sort(
+        Comparator.comparing((Waiting<T> one) -> one.priority())
+            .reversed()
+            .thenComparingDouble(Waiting::score));
+    long k = 0;
+    for (Waiting<T> one : rising) {
+      k += one.count();
+    }
+    List<Waiting<T>> enough = new ArrayList<>();
+    long below = 0;
+    for (int from = 0; from < rising.size(); ) {
+      int to = from;
+      long alike = 0;
+      while (to < rising.size()
+          && rising.get(to).priority() == rising.get(from).priority()
+          && rising.get(to).score() == rising.get(from).score()) {
+        Waiting<T> one = rising.get(to++);
+        alike += one.count();
+        if (below + one.count() - 1 >= tuning.delta() * k) {
+          enough.add(one);
+        }
+      }
+      below += alike;
+      from = to;
+    }
+    return enough;
+  }
+
   /** A running task that might have to give way. */
   public record Running<T>(
       T what, Priority priority, double score, double elapsedS, double estimateS, boolean owed) {}
--- a/src/main/java/org/fieldtrestle/coordination/Faults.java
+++ b/src/main/java/org/fieldtrestle/coordination/Faults.java
@@ -41,6 +41,9 @@
   private final Master master;
   private final Map<String, JobRecord> jobs = new HashMap<>();
 
+  /** Machines on which some job has failed. */
+  private final Set<String> condemning = new HashSet<>();
+
   Faults(Master master) {
     this.master = master;
   }
@@ -88,10 +91,11 @@
     Host host = task.host;
     JobRecord job = jobs.computeIfAbsent(id, j -> new JobRecord());
     job.failedOn.add(host.id);
+    condemning.add(host.id);
     if (!job.suspect && !job.succeeded && job.failedOn.size() >= SUSPECT_AFTER) {
       job.suspect = true;
       LOG.warn("job {} fails on every machine: {}", id, job.failedOn);
-      for (Host other : master.hosts.values()) {
+      for (Host other : master.machines().all()) {
         if (other.errorJobs.remove(id)) {
           other.errors = other.errorJobs.size();
           other.quarantineUntil = 0;
@@ -122,7 +126,15 @@
     return job != null && !job.suspect && job.failedOn.contains(host.id);
   }
 
+  /** Whether any job avoids a machine: else all of its kind are alike to all that wait. */
+  boolean avoidsAny(Host host) {
+    return condemning.contains(host.id);
+  }
+
   void forgetEnded() {
     jobs.keySet().removeIf(id -> master.node.view().job(id) == null);
+    if (!condemning.isEmpty()) {
+      condemning.removeIf(id -> master.machines().get(id) == null);
+    }
   }
 }
--- a/src/main/java/org/fieldtrestle/coordination/Fleet.java
+++ b/src/main/java/org/fieldtrestle/coordination/Fleet.java
@@ -43,6 +43,12 @@
   private long loadAt = -1;
   private long calmSince;
 
+  /** As of the last look: whether anything waits, cheap machines, and by zone all and silent. */
+  private boolean waiting;
+
+  private int cheap;
+  private final Map<String, int[]> zones = new HashMap<>();
+
   Fleet(Master master, Faults faults) {
     this.master = master;
     this.node = master.node;
@@ -68,7 +74,9 @@
   void tick(long now) {
     faults.forgetEnded();
     list(now);
-    for (Host host : master.hosts.values()) {
+    waiting = master.ranges().anyWaiting();
+    look(now);
+    for (Host host : master.machines().all()) {
       judge(host, now);
     }
     close(now);
@@ -78,13 +86,27 @@
 
   // ---- what is wrong with machines
 
+  /** What is asked for each machine is counted once for all. */
+  private void look(long now) {
+    cheap = 0;
+    zones.clear();
+    for (Host host : master.machines().all()) {
+      cheap += host.spot && !host.draining ? 1 : 0;
+      if (host.up) {
+        int[] counts = zones.computeIfAbsent(host.zone, z -> new int[2]);
+        counts[0]++;
+        counts[1] += silentFor(host, now) > node.reportMs(2) ? 1 : 0;
+      }
+    }
+  }
+
   private void judge(Host host, long now) {
     MachineType type = node.type(host.type);
     if (host.draining || type == null) {
       return;
     }
-    for (Placed task : host.placed.values()) {
-      if (task.state == Placed.State.RUNNING) {
+    for (Placed task : host.placed()) {
+      if (task.state() == Placed.State.RUNNING) {
         faults.crawled(task, now);
       }
     }
@@ -100,19 +122,26 @@
       drain(host, "silent for two leases");
       return;
     }
-    long idleMs = idleMs(host, type) * (waiting() ? 4 : 1);
+    if (host.up && !host.lost && deaf(host, now)) {
+      // Its reports say nothing of whether it hears us. Nothing that it has can be stopped but by
+      // its lease, and nothing that it is given comes: only its return makes sure of that.
+      drain(host, "does not hear us");
+      host.returning = true;
+      return;
+    }
+    long idleMs = idleMs(host, type) * (waiting ? 4 : 1);
     if (host.up && host.resolved && host.empty() && now - host.idleSince > idleMs) {
       drain(host, host.closing ? "not needed" : "idle");
     }
   }
 
-  private boolean waiting() {
-    for (OwnedRange range : master.ranges.values()) {
-      if (!range.ended && range.waiting() > 0) {
-        return true;
-      }
+  /** Whether a machine that reports has shown for long that our answers do not come through. */
+  private boolean deaf(Host host, long now) {
+    long lease = node.settings().workerLeaseMs();
+    if (host.deafSince >= 0) {
+      return now - host.deafSince > lease / 2;
     }
-    return false;
+    return !host.resolved && host.heardAt >= 0 && now - host.since > lease + node.reportMs(4);
   }
 
   /** A cheap machine is kept for a while where the usual flow of work will want it again. */
@@ -120,10 +149,6 @@
     if (host.closing) {
       return node.reportMs(1);
     }
-    int cheap = 0;
-    for (Host other : master.hosts.values()) {
-      cheap += other.spot && !other.draining ? 1 : 0;
-    }
     boolean wanted = host.spot && cheap <= target();
     return Math.round(type.bootS() * (wanted ? 2000 : 500));
   }
@@ -133,15 +158,14 @@
    * dearest go first, of these the least used. They open again as soon as anything waits.
    */
   private void close(long now) {
-    boolean waiting = waiting();
     List<Host> open = new ArrayList<>();
     double surplus = -master.reserve();
-    for (Host host : master.hosts.values()) {
+    for (Host host : master.machines().all()) {
       if (waiting) {
         host.closing = false;
       }
       MachineType type = node.type(host.type);
-      if (type != null && host.up && !host.closing && master.usable(host, now)) {
+      if (type != null && host.up && !host.closing && master.machines().usable(host, now)) {
         open.add(host);
         surplus += type.cpus() - host.usedCpus();
       }
@@ -169,24 +193,20 @@
     }
   }
 
+  private static long silentFor(Host host, long now) {
+    return now - Math.max(host.heardAt, host.leaseFrom);
+  }
+
   private boolean silent(Host host, long now) {
-    long since = Math.max(host.heardAt, host.leaseFrom);
-    return now - since > node.reportMs(3.2);
+    return silentFor(host, now) > node.reportMs(3.2);
   }
 
   /** Most of a zone silent at once is a cut, not the machines. */
   private boolean zoneSilent(Host host, long now) {
-    int all = 0;
-    int silent = 0;
-    for (Host other : master.hosts.values()) {
-      if (other.up && other.zone.equals(host.zone) && other != host) {
-        all++;
-        if (now - Math.max(other.heardAt, other.leaseFrom) > node.reportMs(2)) {
-          silent++;
-        }
-      }
-    }
-    return silent > 0 && silent * 2 >= all;
+    int[] counts = zones.get(host.zone);
+    int self = silentFor(host, now) > node.reportMs(2) ? 1 : 0;
+    int silent = counts[1] - self;
+    return silent > 0 && silent * 2 >= counts[0] - 1;
   }
 
   private void drain(Host host, String why) {
@@ -201,7 +221,7 @@
       return;
     }
     List<String> names = new ArrayList<>();
-    for (Host host : master.hosts.values()) {
+    for (Host host : master.machines().all()) {
       if (names.size() < CloudWire.MAX_RETURN
           && (host.returning || host.draining && mayGo(host, now))) {
         host.returning = true;
@@ -233,13 +253,13 @@
 
   /** The cloud has answered: the machine and all that was on it are gone. */
   private void returned(String id) {
-    Host host = master.hosts.get(id);
+    Host host = master.machines().get(id);
     if (host == null) {
       return;
     }
     node.stats().returned++;
     host.lost = true;
-    master.loseTasks(host, "returned (" + host.drainReason + ")");
+    master.machines().loseTasks(host, "returned (" + host.drainReason + ")");
     forget(id);
   }
 
@@ -280,7 +300,7 @@
     Set<String> listed = new HashSet<>();
     for (CloudWire.Listed one : machines) {
       listed.add(one.machine());
-      Host host = master.hosts.get(one.machine());
+      Host host = master.machines().get(one.machine());
       if (host != null && one.failed() && !host.returning) {
         drain(host, "stopped by itself");
         host.lost = true;
@@ -291,7 +311,7 @@
       }
     }
     strangers.keySet().retainAll(listed);
-    for (Host host : master.hosts.values()) {
+    for (Host host : master.machines().all()) {
       if (listed.contains(host.id) || host.ageMs(now) < 4 * lagMs()) {
         missing.remove(host.id);
       } else if (missing.merge(host.id, 1, Integer::sum) >= 3 && silent(host, now)) {
@@ -301,7 +321,7 @@
         host.returning = true;
       }
     }
-    missing.keySet().retainAll(master.hosts.keySet());
+    master.machines().forgetMissing(missing);
   }
 
   /** A machine that nobody has a record of: a late rental, or one whose renter died. */
@@ -394,7 +414,7 @@
       return;
     }
     List<Need> needs = new ArrayList<>();
-    for (OwnedRange range : master.ranges.values()) {
+    for (OwnedRange range : master.ranges().all()) {
       if (range.spec != null && !range.ended && range.waiting() > 0) {
         MachineType type = typeFor(range.spec);
         if (type != null) {
@@ -410,7 +430,13 @@
     // another, and would be returned and rented again for ever.
     Need largest = null;
     int wanted = 0;
-    for (Need kind : needs) {
+    List<Need> kinds = new ArrayList<>();
+    for (Need need : needs) {
+      if (kinds.stream().noneMatch(need::sameAs)) {
+        kinds.add(need);
+      }
+    }
+    for (Need kind : kinds) {
       int missing = missing(kind, needs, now);
       if (missing > wanted) {
         wanted = missing;
@@ -423,7 +449,7 @@
     }
     // What the usual flow keeps busy is rented ahead of it, but only where that is cheap.
     int machines = 0;
-    for (Host host : master.hosts.values()) {
+    for (Host host : master.machines().all()) {
       machines += host.draining ? 0 : 1;
     }
     wanted = (int) Math.floor(target()) - machines;
@@ -438,7 +464,7 @@
     double busy = 0;
     int machines = 0;
     double booting = 0;
-    for (Host host : master.hosts.values()) {
+    for (Host host : master.machines().all()) {
       if (host.draining || host.lost || !kind.servedBy(host) || faults.avoids(kind.range(), host)) {
         continue;
       }
@@ -446,7 +472,7 @@
       if (!host.up) {
         booting += Math.max(type.bootS() * 0.2, type.bootS() - host.ageMs(now) / 1000.0);
       }
-      for (Placed task : host.placed.values()) {
+      for (Placed task : host.placed()) {
         if (task.live() && task.range != null && task.range.spec != null) {
           JobSpec spec = task.range.spec;
           busy += Math.max(2, remainingS(task, type, now)) / perMachine(type, spec);
--- a/src/main/java/org/fieldtrestle/coordination/Host.java
+++ b/src/main/java/org/fieldtrestle/coordination/Host.java
@@ -1,6 +1,7 @@
 package org.fieldtrestle.coordination;
 
 import java.util.ArrayList;
+import java.util.Collection;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.LinkedHashMap;
@@ -62,6 +63,15 @@
   int errors;
   final Set<String> errorJobs = new HashSet<>();
 
+  /** How many reports in a row lacked what their answers had started: it may not hear us. */
+  int unheard;
+
+  /** Since when it seems not to hear us; below 0 while it does. */
+  long deafSince = -1;
+
+  /** The last report of this session, as against the answers to direct commands. */
+  long reportSeq = -1;
+
   /** Tasks that took much longer here than their jobs' others elsewhere. */
   final Set<TaskId> crawled = new HashSet<>();
 
@@ -70,7 +80,13 @@
 
   private long claimUntil;
 
-  final Map<TaskId, Placed> placed = new HashMap<>();
+  private final Map<TaskId, Placed> placed = new HashMap<>();
+  private final Usage usage;
+  private int live;
+  private int beforeImage;
+  private double usedCpus;
+  private double usedGpus;
+  private double usedMemory;
 
   /** Reported tasks that no range of ours knows: only to be stopped and cleared. */
   final List<WorkerWire.ReportedTask> ghosts = new ArrayList<>();
@@ -78,7 +94,16 @@
   /** Images that it should have, the least recently used first, with their sizes. */
   private final LinkedHashMap<String, Double> images = new LinkedHashMap<>(16, 0.75f, true);
 
-  Host(String id, String type, String zone, boolean spot, String address, long token, long now) {
+  Host(
+      String id,
+      String type,
+      String zone,
+      boolean spot,
+      String address,
+      long token,
+      long now,
+      Usage usage) {
+    this.usage = usage;
     this.id = id;
     this.type = type;
     this.zone = zone;
@@ -129,59 +154,88 @@
     return !directBusy && seenToken >= fence;
   }
 
-  /** A task on it still waits for its image. */
-  boolean fetching() {
-    for (Placed task : placed.values()) {
-      if (task.state == Placed.State.STARTING || task.state == Placed.State.FETCHING) {
-        return true;
-      }
-    }
-    return false;
+  // ---- what is on it; sums are kept up, as they are asked for at every turn
+
+  Placed placed(TaskId task) {
+    return placed.get(task);
   }
 
-  boolean empty() {
-    for (Placed task : placed.values()) {
-      if (task.live()) {
-        return false;
-      }
+  Collection<Placed> placed() {
+    return placed.values();
+  }
+
+  /** For whoever changes what is on it meanwhile. */
+  List<Placed> copyOfPlaced() {
+    return List.copyOf(placed.values());
+  }
+
+  void put(Placed task) {
+    Placed before = placed.put(task.task, task);
+    if (before != null) {
+      count(before, -1);
     }
-    return true;
+    count(task, 1);
   }
 
-  double usedCpus() {
-    double sum = 0;
-    for (Placed task : placed.values()) {
-      if (task.live() && task.range != null) {
-        sum += task.range.record.cpus();
-      }
+  void remove(Placed task) {
+    if (placed.remove(task.task, task)) {
+      count(task, -1);
     }
-    return sum;
   }
 
-  double usedGpus() {
-    double sum = 0;
-    for (Placed task : placed.values()) {
-      if (task.live() && task.range != null) {
-        sum += task.range.record.gpus();
-      }
+  /** A task on it has come to another state. */
+  void moved(Placed task, Placed.State next) {
+    if (task.state() == next) {
+      return;
+    }
+    boolean here = placed.get(task.task) == task;
+    if (here) {
+      count(task, -1);
+    }
+    task.enter(next);
+    if (here) {
+      count(task, 1);
     }
-    return sum;
   }
 
-  double usedMemory() {
-    double sum = 0;
-    for (Placed task : placed.values()) {
-      if (task.live() && task.range != null && task.range.spec != null) {
-        sum += task.range.spec.memoryGb();
-      }
+  private void count(Placed task, int sign) {
+    if (!task.live()) {
+      return;
+    }
+    live += sign;
+    beforeImage += task.state().beforeImage() ? sign : 0;
+    usedCpus += sign * task.cpus;
+    usedGpus += sign * task.gpus;
+    usedMemory += sign * task.memoryGb;
+    if (sign > 0) {
+      usage.add(task);
+    } else {
+      usage.remove(task);
     }
-    return sum;
+    if (live == 0) { // and with it whatever rounding has left
+      usedCpus = 0;
+      usedGpus = 0;
+      usedMemory = 0;
+    }
+  }
+
+  /** A task on it still waits for its image. */
+  boolean fetching() {
+    return beforeImage > 0;
+  }
+
+  boolean empty() {
+    return live == 0;
+  }
+
+  double usedCpus() {
+    return usedCpus;
   }
 
   /** What is free on it, for as long as nothing changes. */
   Room room(MachineType of) {
     return new Room(
-        this, of, of.cpus() - usedCpus(), of.gpus() - usedGpus(), of.memoryGb() - usedMemory());
+        this, of, of.cpus() - usedCpus, of.gpus() - usedGpus, of.memoryGb() - usedMemory);
   }
 
   /** A machine's free amounts during one placement pass. */
@@ -201,10 +255,13 @@
     }
 
     boolean fits(JobSpec spec) {
+      return has(spec.cpus(), spec.gpus(), spec.memoryGb());
+    }
+
+    /** Whether this much is free. */
+    boolean has(double ofCpus, double ofGpus, double ofMemoryGb) {
       double slack = 1e-6;
-      return spec.cpus() <= cpus + slack
-          && spec.gpus() <= gpus + slack
-          && spec.memoryGb() <= memoryGb + slack;
+      return ofCpus <= cpus + slack && ofGpus <= gpus + slack && ofMemoryGb <= memoryGb + slack;
     }
 
     void giveBack(JobSpec spec) {
@@ -271,7 +328,7 @@
       }
     }
     for (Placed task : placed.values()) {
-      if (task.state == Placed.State.EXITED) {
+      if (!task.live()) {
         // After a clear the worker no longer knows the attempt, so that a late copy of its start
         // would run it again: only where no such copy can be under way.
         if (task.clearable && quiet()) {
@@ -281,9 +338,11 @@
         orders.add(new WorkerWire.Stop(task.task, task.attempt, task.graceS));
       }
     }
-    for (Placed task : placed.values()) {
-      if (starting && task.state == Placed.State.STARTING && !task.stop) {
-        orders.add(new WorkerWire.Start(task.task, task.attempt));
+    if (starting) {
+      for (Placed task : placed.values()) {
+        if (task.state() == Placed.State.STARTING && !task.stop) {
+          orders.add(new WorkerWire.Start(task.task, task.attempt));
+        }
       }
     }
     List<WorkerWire.Command> sent = orders.size() > most ? orders.subList(0, most) : orders;
@@ -301,7 +360,7 @@
   /** Starts or stops that the machine has not been told yet. */
   boolean hasNews() {
     for (Placed task : placed.values()) {
-      if (task.state == Placed.State.STARTING && !task.startSent && !task.stop) {
+      if (task.state() == Placed.State.STARTING && !task.startSent && !task.stop) {
         return true;
       }
       if (task.stop && task.live() && !task.stopSent) {
--- /dev/null
+++ b/src/main/java/org/fieldtrestle/coordination/Machines.java
@@ -0,0 +1,606 @@
+package org.fieldtrestle.coordination;
+
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.Iterator;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.TreeMap;
+import org.fieldtrestle.bookkeeping.Records;
+import org.fieldtrestle.bookkeeping.View;
+import org.fieldtrestle.protocol.CloudWire.MachineType;
+import org.fieldtrestle.protocol.JobSpec;
+import org.fieldtrestle.protocol.Json;
+import org.fieldtrestle.protocol.Settings;
+import org.fieldtrestle.protocol.StateWire;
+import org.fieldtrestle.protocol.WorkerWire;
+import org.fieldtrestle.transport.Http;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/**
+ * A master's machines: what their reports say is on them, the tokens that they have seen, and what
+ * they are told. Where tasks are is known from here alone.
+ */
+final class Machines {
+  private static final Logger LOG = LoggerFactory.getLogger(Machines.class);
+
+  private static final int MOST_ORDERS = 200;
+
+  private final Master master;
+  private final Node node;
+  private final Ranges ranges;
+  private final Map<String, Host> hosts = new TreeMap<>();
+  private final Usage usage = new Usage();
+
+  /** Those of which we do not know yet what an earlier epoch has left on them. */
+  private final Set<Host> unresolved = new LinkedHashSet<>();
+
+  /** Those that may have something to be told. */
+  private final Set<Host> news = new LinkedHashSet<>();
+
+  Machines(Master master, Ranges ranges) {
+    this.master = master;
+    this.node = master.node;
+    this.ranges = ranges;
+  }
+
+  Iterable<Host> all() {
+    return hosts.values();
+  }
+
+  int count() {
+    return hosts.size();
+  }
+
+  Host get(String id) {
+    return hosts.get(id);
+  }
+
+  Usage usage() {
+    return usage;
+  }
+
+  void forgetMissing(Map<String, ?> by) {
+    by.keySet().retainAll(hosts.keySet());
+  }
+
+  /** Machines that may hold tasks which an earlier epoch has started. */
+  List<Host> unresolved() {
+    List<Host> all = new ArrayList<>();
+    for (Host host : unresolved) {
+      if (!host.lost) {
+        all.add(host);
+      }
+    }
+    return all;
+  }
+
+  boolean anyUnresolved() {
+    for (Host host : unresolved) {
+      if (!host.lost) {
+        return true;
+      }
+    }
+    return false;
+  }
+
+  private void resolved(Host host) {
+    host.resolved = true;
+    unresolved.remove(host);
+  }
+
+  // ---- records
+
+  /**
+   * Follows the record of a machine.
+   *
+   * @param inherited everything that is known was there before this epoch began
+   */
+  void sync(String id, boolean inherited) {
+    View.Kept<Records.Machine> kept = node.view().machines().get(id);
+    Host host = hosts.get(id);
+    if (kept == null || !kept.record().master().equals(master.name)) {
+      if (host != null) {
+        loseTasks(host, "its record is gone");
+        hosts.remove(id);
+        unresolved.remove(host);
+        news.remove(host);
+      }
+      return;
+    }
+    Records.Machine record = kept.record();
+    if (host == null) {
+      host =
+          new Host(
+              id,
+              record.type(),
+              record.zone(),
+              record.spot(),
+              record.address(),
+              master.firstToken(),
+              node.now(),
+              usage);
+      host.bootingFor(Math.max(0, node.reactor().wall() - record.sinceWall()));
+      if (inherited) {
+        host.leaseFrom = node.now() + master.othersActMs();
+      }
+      hosts.put(id, host);
+      // One that came up in this epoch cannot have been given anything before it.
+      if (inherited && record.up()) {
+        unresolved.add(host);
+      } else {
+        host.resolved = true;
+      }
+    }
+    if (!host.up && record.up()) {
+      host.idleSince = node.now();
+      master.passSoon();
+    }
+    host.up = record.up();
+    if (host.up) {
+      host.markingUp = false;
+    }
+  }
+
+  boolean mayStart(Host host) {
+    return host.up && !host.lost && !host.returning && host.seenToken >= master.firstToken();
+  }
+
+  boolean usable(Host host, long now) {
+    return host.resolved
+        && mayStart(host)
+        && !host.draining
+        && host.deafSince < 0
+        && now >= host.quarantineUntil
+        && now - host.heardAt <= node.reportMs(2.5);
+  }
+
+  /** CPUs of all machines that are or will be of use. */
+  double capacity() {
+    double capacity = 0;
+    for (Host host : hosts.values()) {
+      MachineType type = node.type(host.type);
+      if (type != null && !host.draining && !host.lost) {
+        capacity += type.cpus();
+      }
+    }
+    return capacity;
+  }
+
+  /** The free amounts of all machines that may be given tasks. */
+  List<Host.Room> rooms(long now) {
+    List<Host.Room> rooms = new ArrayList<>();
+    for (Host host : hosts.values()) {
+      if (usable(host, now)) {
+        MachineType type = node.type(host.type);
+        if (type != null) {
+          rooms.add(host.room(type));
+        }
+      }
+    }
+    return rooms;
+  }
+
+  private void markUp(Host host) {
+    if (host.up || host.markingUp) {
+      return;
+    }
+    View.Kept<Records.Machine> kept = node.view().machines().get(host.id);
+    if (kept == null) {
+      return;
+    }
+    host.markingUp = true;
+    Records.Machine old = kept.record();
+    Records.Machine up =
+        new Records.Machine(
+            master.name, old.type(), old.zone(), old.spot(), host.address, old.sinceWall(), true);
+    master.write(
+        List.of(new StateWire.Condition(Records.machine(host.id), kept.version())),
+        List.of(new StateWire.Put(Records.machine(host.id), Records.write(up), 0)),
+        committed -> {
+          host.markingUp = false;
+          if (committed) {
+            LOG.info("machine {} is up after {} s", host.id, host.ageMs(node.now()) / 1000);
+          }
+        });
+  }
+
+  // ---- reports
+
+  /** What becomes of a report. */
+  enum Heard {
+    /** Not to be answered with 200: nothing of it counts. */
+    REFUSED,
+    /** Nothing has changed by it. */
+    STEADY,
+    /** Room may have become free. */
+    CHANGED
+  }
+
+  /** A worker reports. */
+  Heard reported(Host host, WorkerWire.Report report) {
+    long now = node.now();
+    if (report.token() > host.token) {
+      LOG.warn("machine {} has seen token {}, above ours", host.id, report.token());
+      if (report.token() >= master.firstTokenOfNext()) {
+        return Heard.REFUSED;
+      }
+      host.token = report.token();
+    }
+    if (report.session() == host.session
+        ? report.seq() <= host.reportSeq
+            || report.seq() < host.seq && now - host.heardAt > WorkerWire.ANSWER_WITHIN_MS
+        : report.session() < host.session) {
+      // A copy of one that came before, or so late that its worker no longer waits for an answer:
+      // a 200 would make us count a lease that the worker does not.
+      return Heard.REFUSED;
+    }
+    boolean changed = learn(host, report);
+    listen(host, report, now);
+    host.reportSeq = Math.max(host.reportSeq, report.seq());
+    markUp(host);
+    return changed ? Heard.CHANGED : Heard.STEADY;
+  }
+
+  boolean resolvedNow(Host host) {
+    return host.resolved && host.seenToken >= master.firstToken();
+  }
+
+  /** The orders in the answer to a report, which renews the machine's lease. */
+  List<WorkerWire.Command> answer(Host host) {
+    host.leaseFrom = Math.max(host.leaseFrom, node.now());
+    if (!resolvedNow(host)) {
+      return List.of();
+    }
+    List<WorkerWire.Command> orders = host.orders(mayStart(host), MOST_ORDERS);
+    for (WorkerWire.Command order : orders) {
+      Placed task = host.placed(order.task());
+      if (task != null && order instanceof WorkerWire.Start) {
+        task.answeredSeq = host.seq;
+      }
+    }
+    return orders;
+  }
+
+  /** Takes in a report, or the report in the answer to a direct command. */
+  private boolean learn(Host host, WorkerWire.Report report) {
+    long now = node.now();
+    if (!report.newerThan(host.session, host.seq)) {
+      return false;
+    }
+    if (host.lost && report.session() == host.session) {
+      return false; // sent before its lease ran out, and late
+    }
+    boolean changed = host.lost;
+    host.heardAt = now;
+    host.lost = false;
+    host.seq = report.seq();
+    host.address = report.address();
+    host.seenToken = Math.max(host.seenToken, report.token());
+    notice(host, report.noticeS());
+    if (report.session() != host.session) {
+      changed = true;
+      host.reportSeq = -1;
+      if (host.session >= 0) {
+        LOG.info("machine {} is in session {} now", host.id, report.session());
+        host.session = report.session();
+        loseTasks(host, "its lease ran out");
+      }
+      host.session = report.session();
+      // A session's lease runs from when it began, which may be just now, whoever answers: what is
+      // given to it by a direct command must not be taken for lost with the session before.
+      host.leaseFrom = Math.max(host.leaseFrom, now);
+    }
+    if (report.token() < master.firstToken()) {
+      return false; // may still be given commands of an earlier epoch
+    }
+    if (!host.resolved) {
+      resolved(host);
+      changed = true;
+      LOG.debug("machine {} is known with {} tasks", host.id, report.tasks().size());
+    }
+    changed |= reconcile(host, report);
+    if (!host.empty()) {
+      host.idleSince = now;
+    }
+    if (changed) {
+      master.passSoon();
+    }
+    return changed;
+  }
+
+  /**
+   * Whether the machine hears us. Its reports prove nothing of that: where two in a row lack what
+   * their answers have started, it gets a higher token to show, and no more tasks until it does. A
+   * worker reports again only once the answer before has come or been given up.
+   */
+  private void listen(Host host, WorkerWire.Report report, long now) {
+    boolean lacks = false;
+    boolean has = false;
+    for (Placed task : host.placed()) {
+      if (task.answeredSeq >= 0 && task.answeredSeq < report.seq()) {
+        lacks |= task.state() == Placed.State.STARTING;
+        has |= task.state() != Placed.State.STARTING;
+        task.answeredSeq = -1;
+      }
+    }
+    if (host.deafSince >= 0) {
+      if (host.seenToken >= host.fence) {
+        LOG.info("machine {} hears us again", host.id);
+        host.deafSince = -1;
+        host.unheard = 0;
+        master.passSoon();
+      }
+    } else if (has) {
+      host.unheard = 0;
+    } else if (lacks && ++host.unheard >= 2) {
+      LOG.warn("machine {} does not hear us: starts in our answers do not appear", host.id);
+      host.deafSince = now;
+      raiseToken(host);
+    }
+  }
+
+  private boolean reconcile(Host host, WorkerWire.Report report) {
+    boolean changed = false;
+    Set<Placed> seen = new HashSet<>(report.tasks().size() * 2);
+    host.ghosts.clear();
+    for (WorkerWire.ReportedTask reported : report.tasks()) {
+      Placed task = host.placed(reported.task());
+      if (task == null || task.attempt != reported.attempt()) {
+        task = found(host, reported, task);
+        changed |= task != null;
+      }
+      if (task == null) {
+        host.ghosts.add(reported);
+      } else {
+        seen.add(task);
+        changed |= follow(task, reported);
+      }
+    }
+    if (seen.size() == host.placed().size()) {
+      return changed;
+    }
+    for (Placed task : host.copyOfPlaced()) {
+      if (seen.contains(task)) {
+        continue;
+      }
+      if (!task.live()) {
+        if (task.clearable) {
+          host.remove(task);
+        }
+      } else if ((task.state() != Placed.State.STARTING || task.stop) && host.quiet()) {
+        // Gone, unless a start of unknown fate may still bring it back.
+        ranges.gone(task);
+        changed = true;
+      }
+    }
+    return changed;
+  }
+
+  /** A task on a machine that we have not placed there in this epoch, or not as this attempt. */
+  private Placed found(Host host, WorkerWire.ReportedTask reported, Placed expected) {
+    OwnedRange range = ranges.of(reported.task());
+    boolean exited = reported.state() == WorkerWire.TaskState.EXITED;
+    if (range == null) {
+      return null;
+    }
+    int offset = reported.task().index() - range.record.from();
+    if (range.isDone(offset) || (expected == null && range.placed.containsKey(offset))) {
+      if (!exited && range.placed.containsKey(offset)) {
+        LOG.error("task {} is on {} and on another machine", reported.task(), host.id);
+      }
+      return null;
+    }
+    if (exited && reported.cause() == WorkerWire.Cause.DONE) {
+      if (expected != null) {
+        host.remove(expected);
+      }
+      Placed task = new Placed(reported.task(), reported.attempt(), host, range, node.now(), 0);
+      host.put(task);
+      return task;
+    }
+    if (exited) {
+      return null;
+    }
+    if (expected != null) {
+      if (expected.state() != Placed.State.STARTING) {
+        return null;
+      }
+      host.remove(expected);
+    }
+    Placed task =
+        new Placed(
+            reported.task(),
+            reported.attempt(),
+            host,
+            range,
+            node.now(),
+            (node.now() - range.waitingSince) / 1000.0);
+    task.startSent = true;
+    host.put(task);
+    range.place(offset, task);
+    if (range.ended) {
+      stop(task, 0);
+    }
+    return task;
+  }
+
+  /** Takes over a task's reported state; true where it has ended by that. */
+  private boolean follow(Placed task, WorkerWire.ReportedTask reported) {
+    long now = node.now();
+    Host host = task.host;
+    task.startSent = true;
+    boolean ended = false;
+    boolean wasBefore = task.state().beforeImage();
+    switch (reported.state()) {
+      case FETCHING -> host.moved(task, Placed.State.FETCHING);
+      case RUNNING -> {
+        if (task.runningSince < 0) {
+          task.runningSince = now;
+        }
+        host.moved(task, Placed.State.RUNNING);
+      }
+      case SAVING -> host.moved(task, Placed.State.SAVING);
+      case EXITED -> {
+        if (task.live()) {
+          ended = true;
+          host.moved(task, Placed.State.EXITED);
+          task.cause = reported.cause();
+          ranges.exited(task);
+        }
+      }
+    }
+    if (task.range != null && task.range.spec != null && task.live()) {
+      MachineType type = node.type(host.type);
+      JobSpec spec = task.range.spec;
+      if (type != null) {
+        host.usesImage(spec.image(), spec.imageGb(), type.cacheGb());
+      }
+    }
+    // An image that has come may be what others wait for.
+    return ended || wasBefore && !task.state().beforeImage();
+  }
+
+  /** Everything that was on the machine is gone with its session, or with the machine itself. */
+  void loseTasks(Host host, String why) {
+    host.ghosts.clear();
+    boolean hostGone = host.lost || host.returning || !node.view().machines().containsKey(host.id);
+    int lost = 0;
+    for (Placed task : host.copyOfPlaced()) {
+      if (task.session != host.session || hostGone) {
+        if (task.live()) {
+          lost++;
+        }
+        ranges.gone(task);
+      }
+    }
+    if (lost > 0) {
+      node.stats().lost += lost;
+      LOG.info("{} tasks on {} are lost: {}", lost, host.id, why);
+    }
+    master.passSoon();
+  }
+
+  private void notice(Host host, double noticeS) {
+    if (noticeS < 0) {
+      return;
+    }
+    host.noticeUntil = node.now() + Math.round(noticeS * 1000);
+    if (!host.draining) {
+      host.drain("spot notice");
+      LOG.info("machine {} will be taken in {} s", host.id, noticeS);
+    }
+    for (Placed task : host.copyOfPlaced()) {
+      if (task.live() && !task.stop && task.range != null && task.range.spec != null) {
+        JobSpec spec = task.range.spec;
+        double remaining = task.remainingS(node.now(), spec.estimateS());
+        if (task.runningSince < 0 || remaining > 1.5 * noticeS) {
+          boolean saves = spec.savesWork() && spec.saveS() < noticeS;
+          stop(task, saves ? Math.max(spec.saveS(), noticeS * 0.8) : 0);
+        }
+      }
+    }
+  }
+
+  /** Machines whose whole lease has passed in silence hold nothing any more. */
+  void expire(long now) {
+    long leaseMs =
+        Math.round(node.settings().workerLeaseMs() * (1 + Settings.DRIFT)) + node.reportMs(0.2);
+    for (Host host : List.copyOf(hosts.values())) {
+      if (!host.lost && host.up && now - host.leaseFrom > leaseMs) {
+        host.lost = true;
+        LOG.warn("machine {} has been silent for its whole lease", host.id);
+        loseTasks(host, "silent for its lease");
+      }
+    }
+  }
+
+  // ---- what they are told
+
+  /** There may be something to tell. */
+  void newsFor(Host host) {
+    news.add(host);
+  }
+
+  void stop(Placed task, double graceS) {
+    if (!task.live() || task.stop && task.graceS <= graceS) {
+      return;
+    }
+    task.stop = true;
+    task.stopSent = false;
+    task.graceS = graceS;
+    if (task.state() == Placed.State.STARTING && !task.startSent) {
+      ranges.gone(task);
+    } else {
+      news.add(task.host);
+    }
+  }
+
+  /** Tells machines at once what would else wait for their next report. */
+  void sendDirect() {
+    if (!master.running()) {
+      return;
+    }
+    for (Iterator<Host> all = news.iterator(); all.hasNext(); ) {
+      Host host = all.next();
+      if (!host.hasNews()) {
+        all.remove();
+      } else if (host.quiet()
+          && !host.returning
+          && !host.lost
+          && host.session >= 0
+          && resolvedNow(host)) {
+        direct(host);
+      }
+    }
+  }
+
+  private void direct(Host host) {
+    // The clears are left for the next report's answer, which is never executed late.
+    List<WorkerWire.Command> orders = new ArrayList<>(host.orders(mayStart(host), MOST_ORDERS));
+    orders.removeIf(order -> order instanceof WorkerWire.Clear);
+    if (orders.isEmpty()) {
+      return;
+    }
+    host.directBusy = true;
+    long sentSession = host.session;
+    node.caller()
+        .call(
+            host.address,
+            "POST",
+            WorkerWire.COMMANDS,
+            WorkerWire.commands(host.token, sentSession, orders),
+            node.reportMs(0.8),
+            outcome -> answered(host, outcome));
+  }
+
+  private void answered(Host host, Http.Outcome outcome) {
+    host.directBusy = false;
+    if (outcome instanceof Http.NotSent) {
+      return;
+    }
+    if (outcome instanceof Http.Answer answer
+        && (answer.status() == 200 || answer.status() == 409)) {
+      try {
+        WorkerWire.Report report = WorkerWire.readReport(answer.body());
+        if (!master.isOver() && hosts.get(host.id) == host && report.machine().equals(host.id)) {
+          learn(host, report);
+        }
+        return;
+      } catch (Json.Malformed e) {
+        LOG.warn("machine {} answered a command out of form: {}", host.id, e.getMessage());
+      }
+    }
+    // Its fate is unknown: it may be executed minutes later, as long as token and session match.
+    // A higher token ends that as soon as the machine has seen it.
+    raiseToken(host);
+  }
+
+  private static void raiseToken(Host host) {
+    host.token++;
+    host.fence = host.token;
+  }
+}
--- a/src/main/java/org/fieldtrestle/coordination/OwnedRange.java
+++ b/src/main/java/org/fieldtrestle/coordination/OwnedRange.java
@@ -4,6 +4,8 @@
 import it.unimi.dsi.fastutil.ints.Int2ObjectMap;
 import it.unimi.dsi.fastutil.ints.Int2ObjectOpenHashMap;
 import java.util.BitSet;
+import java.util.HashSet;
+import java.util.Set;
 import org.fieldtrestle.bookkeeping.Records;
 import org.fieldtrestle.protocol.JobSpec;
 
@@ -39,6 +41,13 @@
   final BitSet finished = new BitSet();
 
   final Int2ObjectMap<Placed> placed = new Int2ObjectOpenHashMap<>();
+
+  /** Tasks that have exited as done and wait on their machines until that is durable. */
+  final Set<Placed> exited = new HashSet<>();
+
+  /** The placement step in which no machine had room for its tasks. */
+  long noRoomIn = -1;
+
   final Int2ObjectMap<Retry> retries = new Int2ObjectOpenHashMap<>();
 
   /** How often tasks have failed; outlives their being placed again. */
--- a/src/main/java/org/fieldtrestle/coordination/Placed.java
+++ b/src/main/java/org/fieldtrestle/coordination/Placed.java
@@ -13,25 +13,42 @@
     RUNNING,
     SAVING,
     /** Ended; stays until the machine has been told to clear it and no longer reports it. */
-    EXITED
+    EXITED;
+
+    /** Its image is not there yet, as far as we know. */
+    boolean beforeImage() {
+      return this == STARTING || this == FETCHING;
+    }
   }
 
   final TaskId task;
   final long attempt;
   final Host host;
 
+  /** What it takes, and of whose limit: counted until it is gone, whatever becomes of its range. */
+  final String team;
+
+  final double cpus;
+  final double gpus;
+  final double memoryGb;
+
   /** Null once the range is no longer ours to keep. */
   OwnedRange range;
 
   /** The session of the machine in which it was placed or found. */
-  long session;
+  final long session;
+
+  /** Changed by its host alone, which keeps sums of it. */
+  private State state = State.STARTING;
 
-  State state = State.STARTING;
   Cause cause = Cause.NONE;
 
   /** Its start has gone out at least once, so that it may be there. */
   boolean startSent;
 
+  /** The machine's report that was answered with its start last; below 0 where none was. */
+  long answeredSeq = -1;
+
   boolean stop;
   boolean stopSent;
   double graceS;
@@ -48,11 +65,29 @@
     this.attempt = attempt;
     this.host = host;
     this.range = range;
+    this.team = range.record.team();
+    this.cpus = range.record.cpus();
+    this.gpus = range.record.gpus();
+    this.memoryGb = range.spec == null ? 0 : range.spec.memoryGb();
     this.session = host.session;
     this.placedAt = now;
     this.waitedS = waitedS;
   }
 
+  State state() {
+    return state;
+  }
+
+  /** For its host, see {@link Host#moved}. */
+  void enter(State next) {
+    state = next;
+  }
+
+  /** Its number within its range. */
+  int offset() {
+    return task.index() - range.record.from();
+  }
+
   /** Since when it had waited before it was placed; a task that is lost waits on from there. */
   long waitingSince() {
     return placedAt - Math.round(waitedS * 1000);
--- /dev/null
+++ b/src/main/java/org/fieldtrestle/coordination/Ranges.java
@@ -0,0 +1,318 @@
+package org.fieldtrestle.coordination;
+
+import java.util.ArrayList;
+import java.util.BitSet;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import org.fieldtrestle.bookkeeping.Records;
+import org.fieldtrestle.bookkeeping.View;
+import org.fieldtrestle.protocol.StateWire;
+import org.fieldtrestle.protocol.TaskId;
+import org.fieldtrestle.protocol.WorkerWire;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/**
+ * A master's ranges and what becomes of their tasks; everything durable about them is done here.
+ */
+final class Ranges {
+  private static final Logger LOG = LoggerFactory.getLogger(Ranges.class);
+
+  private final Master master;
+  private final Node node;
+  private final TreeMap<Records.RangeKey, OwnedRange> ranges = new TreeMap<>();
+  private final Map<String, List<OwnedRange>> byJob = new HashMap<>();
+
+  Ranges(Master master) {
+    this.master = master;
+    this.node = master.node;
+  }
+
+  Iterable<OwnedRange> all() {
+    return ranges.values();
+  }
+
+  int count() {
+    return ranges.size();
+  }
+
+  List<OwnedRange> ofJob(String job) {
+    return byJob.getOrDefault(job, List.of());
+  }
+
+  private boolean has(OwnedRange range) {
+    return ranges.get(range.key) == range;
+  }
+
+  /** The range that a task is in; null where it is none of ours. */
+  OwnedRange of(TaskId task) {
+    for (OwnedRange range : ofJob(task.job())) {
+      if (range.has(task.index())) {
+        return range;
+      }
+    }
+    return null;
+  }
+
+  /** Whether anything waits for a machine. */
+  boolean anyWaiting() {
+    for (OwnedRange range : ranges.values()) {
+      if (!range.ended && range.waiting() > 0) {
+        return true;
+      }
+    }
+    return false;
+  }
+
+  double waitingCpus() {
+    double waiting = 0;
+    for (OwnedRange range : ranges.values()) {
+      if (!range.ended) {
+        waiting += range.waiting() * range.record.cpus();
+      }
+    }
+    return waiting;
+  }
+
+  // ---- records
+
+  /** Follows the record of a range; true where it is or was ours. */
+  boolean sync(Records.RangeKey key) {
+    View.Kept<Records.Range> kept = node.view().range(key);
+    OwnedRange range = ranges.get(key);
+    // One given to a later epoch of this master is not ours, though we may not know yet that we
+    // are over: both would start its tasks.
+    if (kept == null
+        || !kept.record().master().equals(master.name)
+        || kept.record().epoch() > master.epoch) {
+      if (range != null) {
+        drop(range);
+      }
+      return range != null;
+    }
+    if (range == null) {
+      View.LiveJob job = node.view().job(key.job());
+      long age =
+          job == null ? 0 : Math.max(0, node.reactor().wall() - job.job().record().acceptedWall());
+      range =
+          new OwnedRange(
+              key,
+              kept.record(),
+              kept.version(),
+              kept.record().epoch() < master.epoch,
+              node.now() - age);
+      ranges.put(key, range);
+      byJob.computeIfAbsent(key.job(), j -> new ArrayList<>()).add(range);
+      refreshJob(range);
+      master.arrived(range);
+      return true;
+    }
+    range.record = kept.record();
+    range.version = kept.version();
+    range.fresh.clear(range.record.size(), Math.max(range.record.size(), range.fresh.length()));
+    range.finished.andNot(range.record.done());
+    range.fresh.andNot(range.record.done());
+    for (Placed task : List.copyOf(range.exited)) {
+      if (range.isDone(task.offset())) {
+        task.clearable = true;
+        range.exited.remove(task);
+      }
+    }
+    refreshJob(range);
+    return true;
+  }
+
+  private void drop(OwnedRange range) {
+    ranges.remove(range.key);
+    List<OwnedRange> same = byJob.get(range.key.job());
+    same.remove(range);
+    if (same.isEmpty()) {
+      byJob.remove(range.key.job());
+    }
+    for (Placed task : range.placed.values()) {
+      task.range = null;
+      master.stop(task, 0);
+    }
+    for (Placed task : range.exited) {
+      task.range = null;
+      task.clearable = true;
+    }
+  }
+
+  void refreshJob(OwnedRange range) {
+    View.LiveJob job = node.view().job(range.key.job());
+    if (job != null) {
+      range.spec = job.job().record().spec();
+      range.zone = job.job().record().zone();
+      return;
+    }
+    // Only what has been followed past the range's own writing proves that its job is no more: the
+    // two come in one transaction, but not in one message.
+    if (node.view().version(Records.job(range.key.job())) == 0
+        && node.view().followed() >= range.version) {
+      if (!range.ended) {
+        range.ended = true;
+        LOG.info("job {} has ended, winding up range {}", range.key.job(), range.key);
+      }
+      for (Placed task : List.copyOf(range.placed.values())) {
+        master.stop(task, 0);
+      }
+      for (Placed task : range.exited) {
+        task.clearable = true;
+      }
+      range.exited.clear();
+      master.sendDirect();
+      windUp(range);
+    }
+  }
+
+  void refreshAll() {
+    for (OwnedRange range : List.copyOf(ranges.values())) {
+      refreshJob(range);
+    }
+  }
+
+  /** Removes the range of an ended job once nothing of it can be anywhere. */
+  private void windUp(OwnedRange range) {
+    if (!range.ended || !range.placed.isEmpty() || range.writing || blocked(range)) {
+      return;
+    }
+    range.writing = true;
+    master.write(
+        List.of(new StateWire.Condition(Records.range(range.key), range.version)),
+        List.of(new StateWire.Delete(Records.range(range.key))),
+        committed -> {
+          range.writing = false;
+        });
+  }
+
+  /** A machine that may hold tasks of it has not been heard of in this epoch. */
+  boolean blocked(OwnedRange range) {
+    return range.inherited && master.anyUnresolved();
+  }
+
+  // ---- tasks
+
+  /** A task has ended by itself, or by a stop. */
+  void exited(Placed task) {
+    OwnedRange range = task.range;
+    long now = node.now();
+    LOG.debug("task {} exited: {}", task, task.cause);
+    if (range == null) {
+      task.clearable = true;
+      return;
+    }
+    int offset = task.offset();
+    if (task.cause == WorkerWire.Cause.DONE) {
+      range.finish(offset);
+      master.faults().succeeded(task, now);
+      if (range.ended || range.isDone(offset)) {
+        task.clearable = true;
+      } else {
+        range.exited.add(task);
+        writeSoon(range);
+      }
+      return;
+    }
+    task.clearable = true;
+    if (range.placed.get(offset) != task) {
+      return;
+    }
+    OwnedRange.Retry retry = range.again(offset, task.waitingSince());
+    switch (task.cause) {
+      case ERROR -> {
+        // Waiting starts anew: a task that fails everywhere must not age into evicting others.
+        retry.waitingSince = now;
+        master.faults().failed(task, retry, range.failures.addTo(offset, 1) + 1, now);
+      }
+      case NO_ROOM, BUSY, UNKNOWN -> {
+        retry.notBefore = now + node.reportMs(0.5);
+        task.host.quarantineUntil = now + node.reportMs(0.5);
+      }
+      default -> {}
+    }
+    windUp(range);
+  }
+
+  /** The machine does not have this task any more, nor can it get it by anything we sent. */
+  void gone(Placed task) {
+    task.host.remove(task);
+    OwnedRange range = task.range;
+    if (range == null) {
+      return;
+    }
+    range.exited.remove(task);
+    int offset = task.offset();
+    if (range.placed.get(offset) == task) {
+      range.again(offset, task.waitingSince());
+      windUp(range);
+    }
+  }
+
+  // ---- writes
+
+  /**
+   * After handing tasks on has failed or its fate is unknown: they may still be taken by the late
+   * transaction, until a write of our own has moved the range's version past it.
+   */
+  void settle(OwnedRange range, BitSet held) {
+    if (master.isOver() || !has(range)) {
+      return;
+    }
+    master.write(
+        List.of(new StateWire.Condition(Records.range(range.key), range.version)),
+        List.of(new StateWire.Put(Records.range(range.key), Records.write(range.record), 0)),
+        committed -> {
+          if (!committed) {
+            settle(range, held);
+            return;
+          }
+          held.clear(range.record.size(), Math.max(range.record.size(), held.length()));
+          held.andNot(range.record.done());
+          range.fresh.or(held);
+          written(range);
+          master.passSoon();
+        });
+  }
+
+  /** A write of the range is over; what has finished meanwhile goes into the next. */
+  void written(OwnedRange range) {
+    range.writing = false;
+    if (!range.finished.isEmpty() && has(range)) {
+      writeSoon(range);
+    }
+  }
+
+  private void writeSoon(OwnedRange range) {
+    if (!range.writing) {
+      range.writing = true;
+      // A short wait lets tasks that end together share a write.
+      node.reactor().schedule(node.view().watchGapMs() / 3, () -> writeDone(range));
+    }
+  }
+
+  private void writeDone(OwnedRange range) {
+    if (master.isOver() || range.finished.isEmpty() || !has(range)) {
+      range.writing = false;
+      return;
+    }
+    BitSet done = (BitSet) range.record.done().clone();
+    done.or(range.finished);
+    Records.Range next = range.record.withDone(done);
+    List<StateWire.Condition> conditions = new ArrayList<>();
+    List<StateWire.Change> changes = new ArrayList<>();
+    conditions.add(new StateWire.Condition(Records.range(range.key), range.version));
+    if (!Finish.add(node, range.key, next, conditions, changes)) {
+      changes.add(new StateWire.Put(Records.range(range.key), Records.write(next), 0));
+    }
+    master.write(
+        conditions,
+        changes,
+        committed -> {
+          written(range);
+          master.sendDirect();
+        });
+  }
+}
--- a/src/main/java/org/fieldtrestle/coordination/Rehand.java
+++ b/src/main/java/org/fieldtrestle/coordination/Rehand.java
@@ -33,9 +33,18 @@
     if (writing || now < nextAt || node.store().crowded()) {
       return;
     }
-    for (OwnedRange range : master.ranges.values()) {
+    double waiting = -1;
+    double capacity = 0;
+    for (OwnedRange range : master.ranges().all()) {
       int tail = tail(range);
-      if (tail > 0 && hand(range, tail)) {
+      if (tail == 0) {
+        continue;
+      }
+      if (waiting < 0) {
+        waiting = master.ranges().waitingCpus();
+        capacity = master.machines().capacity();
+      }
+      if (hand(range, tail, waiting, capacity)) {
         nextAt = now + node.reportMs(0.2);
         return;
       }
@@ -47,7 +56,7 @@
     if (range.spec == null
         || range.ended
         || range.writing
-        || master.blocked(range)
+        || master.ranges().blocked(range)
         || !range.record.caps().isEmpty()
         || node.view().rangesOf(range.key.job()).size() + 4 > node.settings().state().txnOps()) {
       return 0;
@@ -57,7 +66,7 @@
     return range.spec.kind() == JobSpec.Kind.GANG && tail < size ? 0 : tail;
   }
 
-  private boolean hand(OwnedRange range, int tail) {
+  private boolean hand(OwnedRange range, int tail, double waiting, double capacity) {
     String zone = range.zone != null ? range.zone : range.spec.zone();
     Split.Candidate to = node.loads().leastLoaded(range.spec, zone, master.name);
     if (to == null || node.view().master(to.master()) == null) {
@@ -68,11 +77,6 @@
     if (to.freeTasks() > 0 && to.waitingCpus() < cpus) {
       count = to.freeTasks();
     } else {
-      double capacity = 0;
-      double waiting = 0;
-      var mine = master.load();
-      capacity = mine.capacityCpus();
-      waiting = mine.waitingCpus();
       if (waiting / Math.max(1, capacity) > STEEPER * to.pressure() + 0.25) {
         // Level: what moves leaves both with as much for each CPU.
         double level = (waiting + to.waitingCpus()) / Math.max(1, capacity + to.capacityCpus());
@@ -131,9 +135,9 @@
         committed -> {
           writing = false;
           if (committed) {
-            master.written(range);
+            master.ranges().written(range);
           } else {
-            master.settle(range, held);
+            master.ranges().settle(range, held);
           }
         });
   }
--- a/src/main/java/org/fieldtrestle/coordination/Shares.java
+++ b/src/main/java/org/fieldtrestle/coordination/Shares.java
@@ -72,13 +72,12 @@
 
   /** What the team may be using here: all of any machine that we have not heard of yet. */
   private double[] used(String team) {
-    double[] used = master.usage().getOrDefault(team, new double[2]).clone();
-    for (Host host : master.hosts.values()) {
-      if (!host.resolved && !host.lost) {
-        MachineType type = node.type(host.type);
-        used[0] += type == null ? Double.MAX_VALUE / 4 : type.cpus();
-        used[1] += type == null ? Double.MAX_VALUE / 4 : type.gpus();
-      }
+    Usage usage = master.machines().usage();
+    double[] used = {usage.cpus(team), usage.gpus(team)};
+    for (Host host : master.machines().unresolved()) {
+      MachineType type = node.type(host.type);
+      used[0] += type == null ? Double.MAX_VALUE / 4 : type.cpus();
+      used[1] += type == null ? Double.MAX_VALUE / 4 : type.gpus();
     }
     return used;
   }
@@ -101,7 +100,7 @@
     double[] mine = shares.getOrDefault(master.name, new double[2]);
     double[] used = used(team.name());
     double[] need = used.clone();
-    for (OwnedRange range : master.ranges.values()) {
+    for (OwnedRange range : master.ranges().all()) {
       if (!range.ended && range.record.team().equals(team.name())) {
         need[0] += range.waiting() * range.record.cpus();
         need[1] += range.waiting() * range.record.gpus();
@@ -198,9 +197,12 @@
       return false;
     }
     double part = node.settings().peers().size() + 1;
-    double[] ours = master.usage().getOrDefault(team, new double[2]);
-    double[] others = master.usage().getOrDefault(from, new double[2]);
-    return (mine.cpus() > 0 && ours[0] < mine.cpus() / part && others[0] > theirs.cpus() / part)
-        || (mine.gpus() > 0 && ours[1] < mine.gpus() / part && others[1] > theirs.gpus() / part);
+    Usage usage = master.machines().usage();
+    return (mine.cpus() > 0
+            && usage.cpus(team) < mine.cpus() / part
+            && usage.cpus(from) > theirs.cpus() / part)
+        || (mine.gpus() > 0
+            && usage.gpus(team) < mine.gpus() / part
+            && usage.gpus(from) > theirs.gpus() / part);
   }
 }
--- a/src/main/java/org/fieldtrestle/coordination/StatsPage.java
+++ b/src/main/java/org/fieldtrestle/coordination/StatsPage.java
@@ -20,11 +20,11 @@
     for (Master master : masters) {
       ObjectNode one = held.putObject(master.name);
       one.put("epoch", master.epoch);
-      one.put("machines", master.hosts.size());
-      one.put("ranges", master.ranges.size());
+      one.put("machines", master.machines().count());
+      one.put("ranges", master.ranges().count());
       int waiting = 0;
       int placed = 0;
-      for (OwnedRange range : master.ranges.values()) {
+      for (OwnedRange range : master.ranges().all()) {
         waiting += range.waiting();
         placed += range.placed.size();
       }
--- /dev/null
+++ b/src/main/java/org/fieldtrestle/coordination/Usage.java
@@ -0,0 +1,43 @@
+package org.fieldtrestle.coordination;
+
+import it.unimi.dsi.fastutil.objects.Object2ObjectOpenHashMap;
+
+/**
+ * What each team's tasks take of one master's machines, kept up as tasks come and go: it is asked
+ * for every task that is to be placed.
+ */
+final class Usage {
+  private static final class Sum {
+    int tasks;
+    double cpus;
+    double gpus;
+  }
+
+  private final Object2ObjectOpenHashMap<String, Sum> teams = new Object2ObjectOpenHashMap<>();
+
+  void add(Placed task) {
+    Sum sum = teams.computeIfAbsent(task.team, t -> new Sum());
+    sum.tasks++;
+    sum.cpus += task.cpus;
+    sum.gpus += task.gpus;
+  }
+
+  void remove(Placed task) {
+    Sum sum = teams.get(task.team);
+    sum.cpus -= task.cpus;
+    sum.gpus -= task.gpus;
+    if (--sum.tasks == 0) {
+      teams.remove(task.team); // and with it whatever rounding has left
+    }
+  }
+
+  double cpus(String team) {
+    Sum sum = teams.get(team);
+    return sum == null ? 0 : sum.cpus;
+  }
+
+  double gpus(String team) {
+    Sum sum = teams.get(team);
+    return sum == null ? 0 : sum.gpus;
+  }
+}
--- a/src/main/java/org/fieldtrestle/protocol/WorkerWire.java
+++ b/src/main/java/org/fieldtrestle/protocol/WorkerWire.java
@@ -5,12 +5,19 @@
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.regex.Pattern;
 
 /** The workers' interface: reports, commands and answers. */
 public final class WorkerWire {
   public static final String REPORT = "/hello";
   public static final String COMMANDS = "/commands";
 
+  /** A worker waits so long for the answer to a report. */
+  public static final long ANSWER_WITHIN_MS = 4000;
+
+  private static final Pattern MACHINE = Pattern.compile("[A-Za-z0-9._-]{1,100}");
+  private static final Pattern ADDRESS = Pattern.compile("[0-9.]{7,15}:[0-9]{1,5}");
+
   /** More tasks than any machine could hold; a report with more is absurd. */
   private static final int MAX_TASKS = 10_000;
 
@@ -100,11 +107,11 @@
               TaskId.parse(Json.text(item, "board")), Json.count(item, "try"), state, cause));
     }
     String machine = Json.text(node, "bench");
-    if (!machine.matches("[A-Za-z0-9._-]{1,100}")) {
+    if (!MACHINE.matcher(machine).matches()) {
       throw new Json.Malformed("bench");
     }
     String address = Json.text(node, "address");
-    if (!address.matches("[0-9.]{7,15}:[0-9]{1,5}")) {
+    if (!ADDRESS.matcher(address).matches()) {
       throw new Json.Malformed("address");
     }
     return new Report(
