--- a/src/main/java/org/fieldtrestle/bookkeeping/Records.java
+++ b/src/main/java/org/fieldtrestle/bookkeeping/Records.java
@@ -1,8 +1,12 @@
 package org.fieldtrestle.bookkeeping;
 
 import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ArrayNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.util.ArrayList;
 import java.util.BitSet;
+import java.util.LinkedHashMap;
+import java.util.List;
 import java.util.Map;
 import java.util.TreeMap;
 import org.fieldtrestle.protocol.JobSpec;
@@ -16,12 +20,20 @@
 public final class Records {
   public static final int FORM = 1;
 
+  /** Jobs name their ranges since this form; one of the form before has a record for each. */
+  public static final int JOB_FORM = 2;
+
   /** Everything that all controllers follow. */
   public static final String LIVE = "ft/live/";
 
   private static final String JOB = LIVE + "job/";
   private static final String RANGE = LIVE + "range/";
-  private static final String MACHINE = LIVE + "machine/";
+  private static final String ROSTER = LIVE + "roster/";
+  private static final String STRAY = LIVE + "stray/";
+
+  /** Where a machine had a record of its own, before rosters. */
+  private static final String FORMER_MACHINE = LIVE + "machine/";
+
   private static final String MASTER = LIVE + "master/";
   private static final String MEMBER = LIVE + "member/";
   private static final String QUOTA = LIVE + "quota/";
@@ -47,8 +59,14 @@
     }
   }
 
+  /** One part of a master's roster. */
+  public record RosterKey(String master, int part) implements Key {}
+
+  /** A machine in some roster; no key of its own, but what those who follow are told of. */
   public record MachineKey(String machine) implements Key {}
 
+  public record StrayKey(String machine) implements Key {}
+
   public record MasterKey(String master) implements Key {}
 
   public record MemberKey(String label) implements Key {}
@@ -65,8 +83,16 @@
     return RANGE + key.job() + "/" + key.index();
   }
 
-  public static String machine(String id) {
-    return MACHINE + id;
+  public static String roster(RosterKey key) {
+    return ROSTER + key.master() + "/" + key.part();
+  }
+
+  /**
+   * Shows that a machine was adopted by somebody other than its renter, whose own record of it may
+   * still be under way: its writer makes the absence of this key a condition.
+   */
+  public static String stray(String machine) {
+    return STRAY + machine;
   }
 
   public static String master(String label) {
@@ -90,15 +116,16 @@
     if (key.startsWith(JOB)) {
       return new JobKey(key.substring(JOB.length()));
     }
-    if (key.startsWith(RANGE)) {
-      int slash = key.lastIndexOf('/');
-      String index = key.substring(slash + 1);
-      if (slash > RANGE.length() && index.matches("[0-9]{1,6}")) {
-        return new RangeKey(key.substring(RANGE.length(), slash), Integer.parseInt(index));
-      }
+    int slash = key.lastIndexOf('/');
+    int index = index(key, slash + 1);
+    if (key.startsWith(RANGE) && slash > RANGE.length() && index >= 0) {
+      return new RangeKey(key.substring(RANGE.length(), slash), index);
+    }
+    if (key.startsWith(ROSTER) && slash > ROSTER.length() && index >= 0) {
+      return new RosterKey(key.substring(ROSTER.length(), slash), index);
     }
-    if (key.startsWith(MACHINE)) {
-      return new MachineKey(key.substring(MACHINE.length()));
+    if (key.startsWith(STRAY)) {
+      return new StrayKey(key.substring(STRAY.length()));
     }
     if (key.startsWith(MASTER)) {
       return new MasterKey(key.substring(MASTER.length()));
@@ -116,6 +143,29 @@
     return new ForeignKey(key);
   }
 
+  /** The number that a key ends with; below 0 where it does not. */
+  private static int index(String key, int from) {
+    if (key.length() == from || key.length() - from > 6) {
+      return -1;
+    }
+    int index = 0;
+    for (int i = from; i < key.length(); i++) {
+      int digit = key.charAt(i) - '0';
+      if (digit < 0 || digit > 9) {
+        return -1;
+      }
+      index = index * 10 + digit;
+    }
+    return index;
+  }
+
+  /** Why a key of ours cannot be one of this version's. */
+  static String foreign(String key) {
+    return key.startsWith(FORMER_MACHINE)
+        ? "a machine's record of the form before, this version keeps machines in rosters"
+        : "not one of our keys";
+  }
+
   /** A value that we cannot use. */
   public static final class Unreadable extends Exception {
     private static final long serialVersionUID = 1;
@@ -125,8 +175,28 @@
     }
   }
 
-  /** An accepted job; {@code zone} is set where all its tasks have to be in one. */
-  public record Job(JobSpec spec, long acceptedWall, String zone, int ranges) {}
+  /**
+   * An accepted job; {@code zone} is set where all its tasks have to be in one. {@code parts} are
+   * its ranges as they were handed out: each has a record of its own only once it differs.
+   */
+  public record Job(JobSpec spec, long acceptedWall, String zone, List<Part> parts) {
+    public Range range(int part) {
+      Part one = parts.get(part);
+      return new Range(
+          one.master(),
+          one.epoch(),
+          one.from(),
+          one.to(),
+          new BitSet(),
+          one.caps(),
+          spec.team(),
+          spec.cpus(),
+          spec.gpus());
+    }
+  }
+
+  /** Some of a job's tasks, as they were first given to a master. */
+  public record Part(String master, long epoch, int from, int to, Map<String, Integer> caps) {}
 
   /**
    * Some of a job's tasks, from {@code from} up to but without {@code to}, in one master's hands,
@@ -169,17 +239,20 @@
   }
 
   /**
-   * A machine in a master's hands. Nothing is started on it before {@code up} is durable, so that a
-   * successor need not wait for those that were still booting.
+   * A machine in a master's hands, and the epoch of it in which it came up. Nothing is started on
+   * it before that is durable, so that a successor need not wait for those that were still booting.
+   * {@code sinceWall} tells for how long one has been booting.
    */
   public record Machine(
-      String master,
-      String type,
-      String zone,
-      boolean spot,
-      String address,
-      long sinceWall,
-      boolean up) {}
+      String master, int part, String type, String zone, boolean spot, long sinceWall, long upIn) {
+    public boolean up() {
+      return upIn > 0;
+    }
+
+    public Machine upIn(long epoch) {
+      return new Machine(master, part, type, zone, spot, 0, epoch);
+    }
+  }
 
   /** Which controller acts as this master. */
   public record Master(String holder) {}
@@ -198,13 +271,34 @@
   }
 
   public static JsonNode write(Job job) {
-    ObjectNode node = form();
+    ObjectNode node = Json.object().put("f", JOB_FORM);
     node.set("job", UserWire.writeJob(job.spec()));
     node.put("at", job.acceptedWall());
     if (job.zone() != null) {
       node.put("zone", job.zone());
     }
-    return node.put("ranges", job.ranges());
+    ArrayNode parts = node.putArray("parts");
+    for (Part part : job.parts()) {
+      ObjectNode one = parts.addObject();
+      one.put("m", part.master()).put("e", part.epoch()).put("a", part.from()).put("z", part.to());
+      writeCaps(one, part.caps());
+    }
+    return node;
+  }
+
+  private static void writeCaps(ObjectNode node, Map<String, Integer> caps) {
+    if (!caps.isEmpty()) {
+      ObjectNode written = node.putObject("caps");
+      caps.forEach(written::put);
+    }
+  }
+
+  private static Map<String, Integer> readCaps(JsonNode node) {
+    Map<String, Integer> caps = new TreeMap<>();
+    for (var cap : node.path("caps").properties()) {
+      caps.put(cap.getKey(), cap.getValue().asInt());
+    }
+    return caps;
   }
 
   public static JsonNode write(Range range) {
@@ -214,22 +308,46 @@
         .put("a", range.from())
         .put("z", range.to());
     node.put("done", TaskSet.encode(range.done()));
-    if (!range.caps().isEmpty()) {
-      ObjectNode caps = node.putObject("caps");
-      range.caps().forEach(caps::put);
-    }
+    writeCaps(node, range.caps());
     return node.put("team", range.team()).put("c", range.cpus()).put("g", range.gpus());
   }
 
-  public static JsonNode write(Machine machine) {
-    return form()
-        .put("m", machine.master())
-        .put("type", machine.type())
-        .put("zone", machine.zone())
-        .put("spot", machine.spot())
-        .put("addr", machine.address())
-        .put("at", machine.sinceWall())
-        .put("up", machine.up());
+  /** What machines of one part of a roster have in common. */
+  private record Kind(String type, String zone, boolean spot, long sinceWall, long upIn) {}
+
+  /** One part of a master's roster: machines that have all but their names in common together. */
+  public static JsonNode writeRoster(Map<String, Machine> machines) {
+    Map<Kind, ArrayNode> kinds = new LinkedHashMap<>();
+    ObjectNode node = form();
+    ArrayNode groups = node.putArray("groups");
+    machines.forEach(
+        (id, machine) -> {
+          Kind kind =
+              new Kind(
+                  machine.type(),
+                  machine.zone(),
+                  machine.spot(),
+                  machine.sinceWall(),
+                  machine.upIn());
+          kinds
+              .computeIfAbsent(
+                  kind,
+                  k ->
+                      groups
+                          .addObject()
+                          .put("type", k.type())
+                          .put("zone", k.zone())
+                          .put("spot", k.spot())
+                          .put("at", k.sinceWall())
+                          .put("up", k.upIn())
+                          .putArray("ids"))
+              .add(id);
+        });
+    return node;
+  }
+
+  public static JsonNode writeStray(String master) {
+    return form().put("m", master);
   }
 
   public static JsonNode write(Master master) {
@@ -257,12 +375,16 @@
   }
 
   private static <T> T read(JsonNode node, Reader<T> reader) throws Unreadable {
+    return read(node, FORM, reader);
+  }
+
+  private static <T> T read(JsonNode node, int newest, Reader<T> reader) throws Unreadable {
     JsonNode form = node.path("f");
     if (!form.isInt()) {
       throw new Unreadable("not one of our records");
     }
-    if (form.intValue() != FORM) {
-      throw new Unreadable("written in form " + form.intValue() + ", this version reads " + FORM);
+    if (form.intValue() < FORM || form.intValue() > newest) {
+      throw new Unreadable("written in form " + form.intValue() + ", this version reads " + newest);
     }
     try {
       return reader.read(node);
@@ -274,12 +396,30 @@
   public static Job readJob(JsonNode value) throws Unreadable {
     return read(
         value,
-        node ->
-            new Job(
-                UserWire.readJob(node.path("job")),
-                Json.count(node, "at"),
-                node.has("zone") ? Json.text(node, "zone") : null,
-                (int) Json.count(node, "ranges")));
+        JOB_FORM,
+        node -> {
+          JobSpec spec = UserWire.readJob(node.path("job"));
+          List<Part> parts = new ArrayList<>();
+          for (JsonNode one : node.path("parts")) {
+            long from = Json.count(one, "a");
+            long to = Json.count(one, "z");
+            if (from >= to || to > spec.tasks()) {
+              throw new Json.Malformed("parts");
+            }
+            parts.add(
+                new Part(
+                    Json.text(one, "m"),
+                    Json.count(one, "e"),
+                    (int) from,
+                    (int) to,
+                    readCaps(one)));
+          }
+          return new Job(
+              spec,
+              Json.count(node, "at"),
+              node.has("zone") ? Json.text(node, "zone") : null,
+              List.copyOf(parts));
+        });
   }
 
   public static Range readRange(JsonNode value) throws Unreadable {
@@ -291,35 +431,44 @@
           if (from > to || to > UserWire.MAX_TASKS) {
             throw new Json.Malformed("z");
           }
-          Map<String, Integer> caps = new TreeMap<>();
-          for (var cap : node.path("caps").properties()) {
-            caps.put(cap.getKey(), cap.getValue().asInt());
-          }
           return new Range(
               Json.text(node, "m"),
               Json.count(node, "e"),
               (int) from,
               (int) to,
               TaskSet.decode(Json.text(node, "done"), (int) (to - from)),
-              caps,
+              readCaps(node),
               Json.text(node, "team"),
               node.path("c").asDouble(),
               node.path("g").asDouble());
         });
   }
 
-  public static Machine readMachine(JsonNode value) throws Unreadable {
+  /** The machines of one part of a roster by name. */
+  public static Map<String, Machine> readRoster(RosterKey key, JsonNode value) throws Unreadable {
     return read(
         value,
-        node ->
-            new Machine(
-                Json.text(node, "m"),
-                Json.text(node, "type"),
-                Json.text(node, "zone"),
-                node.path("spot").asBoolean(),
-                node.path("addr").asText(""),
-                Json.count(node, "at"),
-                node.path("up").asBoolean(true)));
+        node -> {
+          if (!node.path("groups").isArray()) {
+            throw new Json.Malformed("groups");
+          }
+          Map<String, Machine> machines = new TreeMap<>();
+          for (JsonNode group : node.path("groups")) {
+            Machine machine =
+                new Machine(
+                    key.master(),
+                    key.part(),
+                    Json.text(group, "type"),
+                    Json.text(group, "zone"),
+                    group.path("spot").asBoolean(),
+                    Json.count(group, "at"),
+                    Json.count(group, "up"));
+            for (JsonNode id : group.path("ids")) {
+              machines.put(id.asText(), machine);
+            }
+          }
+          return machines;
+        });
   }
 
   public static Master readMaster(JsonNode value) throws Unreadable {
--- a/src/main/java/org/fieldtrestle/bookkeeping/View.java
+++ b/src/main/java/org/fieldtrestle/bookkeeping/View.java
@@ -28,7 +28,10 @@
   /** A record and its version. */
   public record Kept<T>(T record, long version) {}
 
-  /** An accepted job that has not ended, with its ranges. */
+  /**
+   * An accepted job that has not ended, with its ranges. A range of version 0 has no record of its
+   * own yet: it is as the job's record names it.
+   */
   public static final class LiveJob {
     private Kept<Records.Job> job;
     private final TreeMap<Integer, Kept<Records.Range>> ranges = new TreeMap<>();
@@ -69,7 +72,8 @@
   private final long watchGapMs;
   private final long watchWaitMs;
   private final Map<String, LiveJob> jobs = new HashMap<>();
-  private final Map<String, Kept<Records.Machine>> machines = new HashMap<>();
+  private final Map<String, Records.Machine> machines = new HashMap<>();
+  private final Map<Records.RosterKey, Map<String, Records.Machine>> rosters = new HashMap<>();
   private final Map<String, Kept<Records.Master>> masters = new HashMap<>();
   private final Map<String, Kept<Records.Member>> members = new HashMap<>();
   private final Map<String, Kept<Records.Quota>> quotas = new HashMap<>();
@@ -134,10 +138,25 @@
     return jobs;
   }
 
-  public Map<String, Kept<Records.Machine>> machines() {
+  public Map<String, Records.Machine> machines() {
     return machines;
   }
 
+  /** The parts of all rosters, as far as they could ever be read. */
+  public Map<Records.RosterKey, Map<String, Records.Machine>> rosters() {
+    return rosters;
+  }
+
+  /** Whether a part of a master's roster cannot be read, so that machines of it may be missing. */
+  public boolean rosterDamaged(String master) {
+    for (String key : unreadable) {
+      if (Records.key(key) instanceof Records.RosterKey k && k.master().equals(master)) {
+        return true;
+      }
+    }
+    return false;
+  }
+
   public Kept<Records.Master> master(String label) {
     return masters.get(label);
   }
@@ -299,10 +318,14 @@
         if (unreadable.add(key)) {
           LOG.error("unreadable value at state key {}: {}", key, e.getMessage());
         }
-        remove(parsed);
+        hide(parsed);
       }
     }
-    listeners.forEach(listener -> listener.accept(parsed));
+    tell(parsed);
+  }
+
+  private void tell(Records.Key key) {
+    listeners.forEach(listener -> listener.accept(key));
   }
 
   public boolean readable(String key) {
@@ -311,22 +334,61 @@
 
   private void put(Records.Key key, JsonNode value, long version) throws Records.Unreadable {
     if (key instanceof Records.JobKey k) {
-      jobs.computeIfAbsent(k.job(), id -> new LiveJob()).job =
-          new Kept<>(Records.readJob(value), version);
+      Records.Job job = Records.readJob(value);
+      LiveJob live = jobs.computeIfAbsent(k.job(), id -> new LiveJob());
+      if (live.job == null) {
+        for (int i = 0; i < job.parts().size(); i++) {
+          live.ranges.putIfAbsent(i, new Kept<>(job.range(i), 0));
+        }
+      }
+      live.job = new Kept<>(job, version);
     } else if (key instanceof RangeKey k) {
       jobs.computeIfAbsent(k.job(), id -> new LiveJob())
           .ranges
           .put(k.index(), new Kept<>(Records.readRange(value), version));
-    } else if (key instanceof Records.MachineKey k) {
-      machines.put(k.machine(), new Kept<>(Records.readMachine(value), version));
+    } else if (key instanceof Records.RosterKey k) {
+      roster(k, Records.readRoster(k, value));
     } else if (key instanceof Records.MasterKey k) {
       masters.put(k.master(), new Kept<>(Records.readMaster(value), version));
     } else if (key instanceof Records.MemberKey k) {
       members.put(k.label(), new Kept<>(Records.readMember(value), version));
     } else if (key instanceof Records.QuotaKey k) {
       quotas.put(k.team(), new Kept<>(Records.readQuota(value), version));
-    } else {
-      throw new Records.Unreadable("not one of our keys");
+    } else if (key instanceof Records.ForeignKey k) {
+      throw new Records.Unreadable(Records.foreign(k.key()));
+    }
+  }
+
+  /** Takes over a part of a roster, and tells of each machine that is not as it was. */
+  private void roster(Records.RosterKey key, Map<String, Records.Machine> now) {
+    Map<String, Records.Machine> before = rosters.getOrDefault(key, Map.of());
+    rosters.put(key, now);
+    before.forEach(
+        (id, machine) -> {
+          if (!now.containsKey(id) && machine.equals(machines.get(id))) {
+            machines.remove(id);
+            tell(new Records.MachineKey(id));
+          }
+        });
+    now.forEach(
+        (id, machine) -> {
+          if (!machine.equals(machines.put(id, machine))) {
+            tell(new Records.MachineKey(id));
+          }
+        });
+  }
+
+  /**
+   * A value that cannot be read counts as absent, but for what would be thought gone with it: tasks
+   * may be on the machines of a roster, and ranges that only their job's record names are not done.
+   */
+  private void hide(Records.Key key) {
+    if (key instanceof Records.JobKey k) {
+      if (jobs.containsKey(k.job())) {
+        jobs.get(k.job()).job = null;
+      }
+    } else if (!(key instanceof Records.RosterKey)) {
+      remove(key);
     }
   }
 
@@ -335,6 +397,7 @@
       LiveJob job = jobs.get(k.job());
       if (job != null) {
         job.job = null;
+        job.ranges.values().removeIf(range -> range.version() == 0);
         dropEmpty(k.job(), job);
       }
     } else if (key instanceof RangeKey k) {
@@ -343,8 +406,9 @@
         job.ranges.remove(k.index());
         dropEmpty(k.job(), job);
       }
-    } else if (key instanceof Records.MachineKey k) {
-      machines.remove(k.machine());
+    } else if (key instanceof Records.RosterKey k) {
+      roster(k, Map.of());
+      rosters.remove(k);
     } else if (key instanceof Records.MasterKey k) {
       masters.remove(k.master());
     } else if (key instanceof Records.MemberKey k) {
--- a/src/main/java/org/fieldtrestle/coordination/Controller.java
+++ b/src/main/java/org/fieldtrestle/coordination/Controller.java
@@ -260,43 +260,67 @@
       reply.accept(new Http.Response(503, Http.Response.EMPTY));
       return;
     }
-    View.Kept<Records.Machine> kept = view.machines().get(report.machine());
-    if (kept == null) {
+    Records.Machine record = view.machines().get(report.machine());
+    if (record == null) {
       adopt(report);
       reply.accept(new Http.Response(503, Http.Response.EMPTY));
       return;
     }
-    Master master = masters.get(kept.record().master());
+    Master master = masters.get(record.master());
     if (master != null) {
       master.tell(new Master.Reported(report, reply));
       return;
     }
-    View.Kept<Records.Master> holder = view.master(kept.record().master());
+    View.Kept<Records.Master> holder = view.master(record.master());
     String to = holder == null ? null : holder.record().holder();
     reply.accept(
         new Http.Response(
             421, WorkerWire.redirect(node.settings().label().equals(to) ? null : to)));
   }
 
-  /** A machine without a record reports: it becomes ours, unless it was returned just before. */
+  /**
+   * A machine without a record reports: it becomes ours once it answers, as a report may be a late
+   * copy of one from a machine that was returned long ago.
+   */
   private void adopt(WorkerWire.Report report) {
     Master master = masters.get(node.settings().label());
     String id = report.machine();
-    if (master == null
-        || !master.running()
-        || gone.getIfPresent(id) != null
-        || !view.readable(Records.machine(id))
-        || !adopting.add(id)) {
+    if (master == null || !master.running() || gone.getIfPresent(id) != null || !adopting.add(id)) {
       return;
     }
-    LOG.info("machine {} reports and is nobody's, adopting it", id);
-    master.own(
-        id,
-        report.type(),
-        report.zone(),
-        report.spot(),
-        report.address(),
-        true,
-        owned -> adopting.remove(id));
+    node.caller()
+        .call(
+            report.address(),
+            "GET",
+            WorkerWire.INSPECT,
+            Http.Response.EMPTY,
+            WorkerWire.ANSWER_WITHIN_MS,
+            outcome -> {
+              if (!master.running() || !answersAs(id, outcome)) {
+                reactor.schedule(node.reportMs(1), () -> adopting.remove(id));
+                return;
+              }
+              LOG.info("machine {} reports and is nobody's, adopting it", id);
+              master
+                  .roster()
+                  .add(
+                      id,
+                      report.type(),
+                      report.zone(),
+                      report.spot(),
+                      true,
+                      owned -> adopting.remove(id));
+            });
+  }
+
+  private static boolean answersAs(String machine, Http.Outcome outcome) {
+    if (outcome instanceof Http.Answer answer && answer.status() == 200) {
+      try {
+        return WorkerWire.readReport(answer.body()).machine().equals(machine);
+      } catch (Json.Malformed e) {
+        return false;
+      }
+    }
+    return false;
   }
 }
--- a/src/main/java/org/fieldtrestle/coordination/Finish.java
+++ b/src/main/java/org/fieldtrestle/coordination/Finish.java
@@ -45,7 +45,9 @@
       if (one.getKey() != key.index()) {
         conditions.add(new StateWire.Condition(rangeKey, one.getValue().version()));
       }
-      changes.add(new StateWire.Delete(rangeKey));
+      if (one.getValue().version() != 0) {
+        changes.add(new StateWire.Delete(rangeKey));
+      }
     }
     changes.add(
         new StateWire.Put(
--- a/src/main/java/org/fieldtrestle/coordination/Fleet.java
+++ b/src/main/java/org/fieldtrestle/coordination/Fleet.java
@@ -8,12 +8,10 @@
 import java.util.Map;
 import java.util.Objects;
 import java.util.Set;
-import org.fieldtrestle.bookkeeping.Records;
 import org.fieldtrestle.protocol.CloudWire;
 import org.fieldtrestle.protocol.CloudWire.MachineType;
 import org.fieldtrestle.protocol.JobSpec;
 import org.fieldtrestle.protocol.Settings;
-import org.fieldtrestle.protocol.StateWire;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
@@ -260,22 +258,7 @@
     node.stats().returned++;
     host.lost = true;
     master.machines().loseTasks(host, "returned (" + host.drainReason + ")");
-    forget(id);
-  }
-
-  private void forget(String id) {
-    var kept = node.view().machines().get(id);
-    if (kept == null || master.isOver()) {
-      return;
-    }
-    master.write(
-        List.of(new StateWire.Condition(Records.machine(id), kept.version())),
-        List.of(new StateWire.Delete(Records.machine(id))),
-        committed -> {
-          if (!committed) {
-            forget(id);
-          }
-        });
+    master.roster().remove(id);
   }
 
   // ---- the machine list
@@ -333,7 +316,7 @@
       return;
     }
     LOG.info("machine {} is nobody's, adopting it", one.machine());
-    master.own(one.machine(), one.type(), one.zone(), one.spot(), one.address(), true, owned -> {});
+    master.roster().add(one.machine(), one.type(), one.zone(), one.spot(), true, owned -> {});
   }
 
   // ---- renting
@@ -601,7 +584,8 @@
                   refusedUntil.put(type + "/" + zone + "/" + spot, now + 2 * lagMs());
                 }
                 for (String id : rented.machines()) {
-                  record(id, type, zone, spot);
+                  // Somebody may have adopted it before, as it can be up at once.
+                  master.roster().add(id, type, zone, spot, false, owned -> {});
                 }
               } else if (rent instanceof Cloud.Again && tries < 20) {
                 // The same name again: if it was executed, this gets the same machines.
@@ -614,23 +598,4 @@
               }
             });
   }
-
-  /** Makes a machine ours; somebody may have adopted it before, as it can be up at once. */
-  private void record(String id, String type, String zone, boolean spot) {
-    if (master.isOver() || node.view().machines().containsKey(id)) {
-      return;
-    }
-    master.own(
-        id,
-        type,
-        zone,
-        spot,
-        "",
-        false,
-        owned -> {
-          if (!owned) {
-            record(id, type, zone, spot);
-          }
-        });
-  }
 }
--- a/src/main/java/org/fieldtrestle/coordination/Gateway.java
+++ b/src/main/java/org/fieldtrestle/coordination/Gateway.java
@@ -3,7 +3,6 @@
 import com.github.benmanes.caffeine.cache.Cache;
 import com.github.benmanes.caffeine.cache.Caffeine;
 import java.util.ArrayList;
-import java.util.BitSet;
 import java.util.List;
 import java.util.Map;
 import java.util.TreeMap;
@@ -175,7 +174,6 @@
     if (parts.size() > maxRanges) {
       parts = Split.split(spec, candidates.subList(0, 1), maxPart, node.settings().zones());
     }
-    Records.Job job = new Records.Job(spec, reactor.wall(), zone, parts.size());
     List<StateWire.Condition> conditions = new ArrayList<>();
     conditions.add(new StateWire.Condition(Records.job(spec.id()), 0));
     conditions.add(new StateWire.Condition(Records.finished(spec.id()), 0));
@@ -187,25 +185,19 @@
     // has started anything of these ranges.
     epochs.forEach(
         (master, epoch) -> conditions.add(new StateWire.Condition(Records.master(master), epoch)));
-    List<StateWire.Change> changes = new ArrayList<>();
-    changes.add(new StateWire.Put(Records.job(spec.id()), Records.write(job), 0));
-    for (int i = 0; i < parts.size(); i++) {
-      Split.Part part = parts.get(i);
-      Records.Range range =
-          new Records.Range(
-              part.master(),
-              epochs.get(part.master()),
-              part.from(),
-              part.to(),
-              new BitSet(),
-              part.caps(),
-              spec.team(),
-              spec.cpus(),
-              spec.gpus());
-      changes.add(
-          new StateWire.Put(
-              Records.range(new Records.RangeKey(spec.id(), i)), Records.write(range), 0));
+    List<Records.Part> given = new ArrayList<>();
+    for (Split.Part part : parts) {
+      given.add(
+          new Records.Part(
+              part.master(), epochs.get(part.master()), part.from(), part.to(), part.caps()));
     }
+    // One write for the job and all its ranges: each gets a record of its own once it differs.
+    List<StateWire.Change> changes =
+        List.of(
+            new StateWire.Put(
+                Records.job(spec.id()),
+                Records.write(new Records.Job(spec, reactor.wall(), zone, given)),
+                0));
     List<Split.Part> taken = parts;
     node.store()
         .commit(
@@ -348,17 +340,26 @@
     }
     Records.Final cancelled =
         new Records.Final(false, job.job().record().spec().tasks(), job.done());
-    List<StateWire.Change> changes =
-        List.of(
-            new StateWire.Delete(Records.job(id)),
-            new StateWire.Put(Records.finished(id), Records.write(cancelled), 0));
+    List<StateWire.Condition> conditions = new ArrayList<>();
+    conditions.add(new StateWire.Condition(Records.job(id), job.job().version()));
+    conditions.add(new StateWire.Condition(Records.finished(id), 0));
+    List<StateWire.Change> changes = new ArrayList<>();
+    changes.add(new StateWire.Delete(Records.job(id)));
+    changes.add(new StateWire.Put(Records.finished(id), Records.write(cancelled), 0));
+    // Ranges that only the job's record names outlive it by records of their own: their tasks count
+    // against the team's limit until they are gone.
+    job.ranges()
+        .forEach(
+            (index, range) -> {
+              if (range.version() == 0) {
+                String key = Records.range(new Records.RangeKey(id, index));
+                conditions.add(new StateWire.Condition(key, 0));
+                changes.add(new StateWire.Put(key, Records.write(range.record()), 0));
+              }
+            });
     node.store()
         .commit(
-            new Store.Txn(
-                List.of(
-                    new StateWire.Condition(Records.job(id), job.job().version()),
-                    new StateWire.Condition(Records.finished(id), 0)),
-                changes),
+            new Store.Txn(conditions, changes),
             result -> {
               if (result instanceof Store.Committed committed) {
                 ended.put(id, cancelled);
--- a/src/main/java/org/fieldtrestle/coordination/Host.java
+++ b/src/main/java/org/fieldtrestle/coordination/Host.java
@@ -19,7 +19,9 @@
   final String type;
   final String zone;
   final boolean spot;
-  String address;
+
+  /** As it reported last. */
+  String address = "";
 
   /** Its record says that tasks may have been started on it. */
   boolean up;
@@ -94,21 +96,12 @@
   /** Images that it should have, the least recently used first, with their sizes. */
   private final LinkedHashMap<String, Double> images = new LinkedHashMap<>(16, 0.75f, true);
 
-  Host(
-      String id,
-      String type,
-      String zone,
-      boolean spot,
-      String address,
-      long token,
-      long now,
-      Usage usage) {
+  Host(String id, String type, String zone, boolean spot, long token, long now, Usage usage) {
     this.usage = usage;
     this.id = id;
     this.type = type;
     this.zone = zone;
     this.spot = spot;
-    this.address = address;
     this.token = token;
     this.since = now;
     this.idleSince = now;
--- a/src/main/java/org/fieldtrestle/coordination/Machines.java
+++ b/src/main/java/org/fieldtrestle/coordination/Machines.java
@@ -9,12 +9,10 @@
 import java.util.Set;
 import java.util.TreeMap;
 import org.fieldtrestle.bookkeeping.Records;
-import org.fieldtrestle.bookkeeping.View;
 import org.fieldtrestle.protocol.CloudWire.MachineType;
 import org.fieldtrestle.protocol.JobSpec;
 import org.fieldtrestle.protocol.Json;
 import org.fieldtrestle.protocol.Settings;
-import org.fieldtrestle.protocol.StateWire;
 import org.fieldtrestle.protocol.WorkerWire;
 import org.fieldtrestle.transport.Http;
 import org.slf4j.Logger;
@@ -41,6 +39,9 @@
   /** Those that may have something to be told. */
   private final Set<Host> news = new LinkedHashSet<>();
 
+  /** Until when there may be machines that we know nothing of, as their record is damaged. */
+  private long unknownUntil;
+
   Machines(Master master, Ranges ranges) {
     this.master = master;
     this.node = master.node;
@@ -79,6 +80,9 @@
   }
 
   boolean anyUnresolved() {
+    if (node.now() < unknownUntil) {
+      return true;
+    }
     for (Host host : unresolved) {
       if (!host.lost) {
         return true;
@@ -87,6 +91,19 @@
     return false;
   }
 
+  /** The epoch begins: what was there before it is ours to find out. */
+  void inherit() {
+    node.view().machines().keySet().forEach(id -> sync(id, true));
+    if (node.view().rosterDamaged(master.name)) {
+      unknownUntil = node.now() + master.othersActMs() + leaseMs();
+    }
+  }
+
+  /** After so long without an answer of ours, nothing is on a machine any more. */
+  private long leaseMs() {
+    return Math.round(node.settings().workerLeaseMs() * (1 + Settings.DRIFT)) + node.reportMs(0.2);
+  }
+
   private void resolved(Host host) {
     host.resolved = true;
     unresolved.remove(host);
@@ -100,9 +117,9 @@
    * @param inherited everything that is known was there before this epoch began
    */
   void sync(String id, boolean inherited) {
-    View.Kept<Records.Machine> kept = node.view().machines().get(id);
+    Records.Machine record = node.view().machines().get(id);
     Host host = hosts.get(id);
-    if (kept == null || !kept.record().master().equals(master.name)) {
+    if (record == null || !record.master().equals(master.name)) {
       if (host != null) {
         loseTasks(host, "its record is gone");
         hosts.remove(id);
@@ -111,7 +128,6 @@
       }
       return;
     }
-    Records.Machine record = kept.record();
     if (host == null) {
       host =
           new Host(
@@ -119,11 +135,10 @@
               record.type(),
               record.zone(),
               record.spot(),
-              record.address(),
               master.firstToken(),
               node.now(),
               usage);
-      host.bootingFor(Math.max(0, node.reactor().wall() - record.sinceWall()));
+      host.bootingFor(record.up() ? 0 : Math.max(0, node.reactor().wall() - record.sinceWall()));
       if (inherited) {
         host.leaseFrom = node.now() + master.othersActMs();
       }
@@ -140,9 +155,6 @@
       master.passSoon();
     }
     host.up = record.up();
-    if (host.up) {
-      host.markingUp = false;
-    }
   }
 
   boolean mayStart(Host host) {
@@ -185,27 +197,11 @@
   }
 
   private void markUp(Host host) {
-    if (host.up || host.markingUp) {
-      return;
-    }
-    View.Kept<Records.Machine> kept = node.view().machines().get(host.id);
-    if (kept == null) {
-      return;
+    if (!host.up && !host.markingUp) {
+      host.markingUp = true;
+      LOG.debug("machine {} is up after {} s", host.id, host.ageMs(node.now()) / 1000);
+      master.roster().up(host.id);
     }
-    host.markingUp = true;
-    Records.Machine old = kept.record();
-    Records.Machine up =
-        new Records.Machine(
-            master.name, old.type(), old.zone(), old.spot(), host.address, old.sinceWall(), true);
-    master.write(
-        List.of(new StateWire.Condition(Records.machine(host.id), kept.version())),
-        List.of(new StateWire.Put(Records.machine(host.id), Records.write(up), 0)),
-        committed -> {
-          host.markingUp = false;
-          if (committed) {
-            LOG.info("machine {} is up after {} s", host.id, host.ageMs(node.now()) / 1000);
-          }
-        });
   }
 
   // ---- reports
@@ -507,8 +503,7 @@
 
   /** Machines whose whole lease has passed in silence hold nothing any more. */
   void expire(long now) {
-    long leaseMs =
-        Math.round(node.settings().workerLeaseMs() * (1 + Settings.DRIFT)) + node.reportMs(0.2);
+    long leaseMs = leaseMs();
     for (Host host : List.copyOf(hosts.values())) {
       if (!host.lost && host.up && now - host.leaseFrom > leaseMs) {
         host.lost = true;
--- a/src/main/java/org/fieldtrestle/coordination/Master.java
+++ b/src/main/java/org/fieldtrestle/coordination/Master.java
@@ -58,6 +58,7 @@
   private final Machines machines;
   private final Ranges ranges;
   private final Placement placement;
+  private final Roster roster;
   private final Fleet fleet;
   private final Shares shares;
   private final Faults faults;
@@ -80,6 +81,7 @@
     this.faults = new Faults(this);
     this.ranges = new Ranges(this);
     this.machines = new Machines(this, ranges);
+    this.roster = new Roster(this);
     this.fleet = new Fleet(this, faults);
     this.shares = new Shares(this);
     this.rehand = new Rehand(this);
@@ -128,6 +130,10 @@
     return ranges;
   }
 
+  Roster roster() {
+    return roster;
+  }
+
   Faults faults() {
     return faults;
   }
@@ -239,29 +245,12 @@
             });
   }
 
-  /** Makes a machine that has no record this master's, unless somebody else is quicker. */
-  void own(
-      String id,
-      String type,
-      String zone,
-      boolean spot,
-      String address,
-      boolean up,
-      Consumer<Boolean> done) {
-    Records.Machine record =
-        new Records.Machine(name, type, zone, spot, address, reactor.wall(), up);
-    write(
-        List.of(new StateWire.Condition(Records.machine(id), 0)),
-        List.of(new StateWire.Put(Records.machine(id), Records.write(record), 0)),
-        done);
-  }
-
   // ---- messages
 
   /** Everything written before this epoch began is known now. */
   private void activate() {
     active = true;
-    node.view().machines().keySet().forEach(id -> machines.sync(id, true));
+    machines.inherit();
     for (var job : List.copyOf(node.view().all().entrySet())) {
       for (int index : List.copyOf(job.getValue().ranges().keySet())) {
         ranges.sync(new Records.RangeKey(job.getKey(), index));
@@ -288,8 +277,7 @@
     } else if (key instanceof Records.MachineKey k) {
       machines.sync(k.machine(), false);
     } else if (key instanceof Records.JobKey k) {
-      for (OwnedRange range : List.copyOf(ranges.ofJob(k.job()))) {
-        ranges.refreshJob(range);
+      if (ranges.syncJob(k.job())) {
         passSoon();
       }
     }
@@ -344,6 +332,7 @@
     if (node.acting()) {
       shares.tick();
       fleet.tick(now);
+      ranges.writePartial(now);
       rehand.tick(now);
       report(now);
       passSoon();
--- a/src/main/java/org/fieldtrestle/coordination/OwnedRange.java
+++ b/src/main/java/org/fieldtrestle/coordination/OwnedRange.java
@@ -58,6 +58,9 @@
 
   boolean writing;
 
+  /** When what has finished is to be written though more is to come; below 0 where nothing has. */
+  long writeAt = -1;
+
   OwnedRange(
       Records.RangeKey key, Records.Range record, long version, boolean inherited, long since) {
     this.key = key;
--- a/src/main/java/org/fieldtrestle/coordination/Ranges.java
+++ b/src/main/java/org/fieldtrestle/coordination/Ranges.java
@@ -1,5 +1,6 @@
 package org.fieldtrestle.coordination;
 
+import com.fasterxml.jackson.databind.JsonNode;
 import java.util.ArrayList;
 import java.util.BitSet;
 import java.util.HashMap;
@@ -20,6 +21,9 @@
 final class Ranges {
   private static final Logger LOG = LoggerFactory.getLogger(Ranges.class);
 
+  /** Half of what a transaction may hold. */
+  private static final int MOST_BYTES = 32 * 1024;
+
   private final Master master;
   private final Node node;
   private final TreeMap<Records.RangeKey, OwnedRange> ranges = new TreeMap<>();
@@ -124,6 +128,18 @@
     return true;
   }
 
+  /** Follows the record of a job, which may name ranges without records of their own. */
+  boolean syncJob(String job) {
+    boolean ours = false;
+    for (int index : List.copyOf(node.view().rangesOf(job).keySet())) {
+      ours |= sync(new Records.RangeKey(job, index));
+    }
+    for (OwnedRange range : List.copyOf(ofJob(job))) {
+      ours |= sync(range.key);
+    }
+    return ours;
+  }
+
   private void drop(OwnedRange range) {
     ranges.remove(range.key);
     List<OwnedRange> same = byJob.get(range.key.job());
@@ -253,6 +269,17 @@
 
   // ---- writes
 
+  /** That a range is still as we know it; one without a record of its own is as its job's is. */
+  List<StateWire.Condition> unchanged(OwnedRange range) {
+    List<StateWire.Condition> conditions = new ArrayList<>();
+    conditions.add(new StateWire.Condition(Records.range(range.key), range.version));
+    if (range.version == 0) {
+      String job = Records.job(range.key.job());
+      conditions.add(new StateWire.Condition(job, node.view().version(job)));
+    }
+    return conditions;
+  }
+
   /**
    * After handing tasks on has failed or its fate is unknown: they may still be taken by the late
    * transaction, until a write of our own has moved the range's version past it.
@@ -262,7 +289,7 @@
       return;
     }
     master.write(
-        List.of(new StateWire.Condition(Records.range(range.key), range.version)),
+        unchanged(range),
         List.of(new StateWire.Put(Records.range(range.key), Records.write(range.record), 0)),
         committed -> {
           if (!committed) {
@@ -286,11 +313,26 @@
   }
 
   private void writeSoon(OwnedRange range) {
-    if (!range.writing) {
-      range.writing = true;
-      // A short wait lets tasks that end together share a write.
-      node.reactor().schedule(node.view().watchGapMs() / 3, () -> writeDone(range));
+    if (range.writing) {
+      return;
     }
+    if (range.record.done().cardinality() + range.finished.cardinality() < range.record.size()) {
+      // Until all are done, what is done is safe on its machines; it is written now and then only
+      // so that reports stay short and little is done again where a machine is lost.
+      if (range.writeAt < 0) {
+        range.writeAt = node.now() + node.settings().workerLeaseMs();
+      }
+      return;
+    }
+    range.writing = true;
+    // A short wait lets tasks that end together share a write.
+    node.reactor().schedule(node.view().watchGapMs() / 3, () -> writeDone(range));
+  }
+
+  private static Records.Range withFinished(OwnedRange range) {
+    BitSet done = (BitSet) range.record.done().clone();
+    done.or(range.finished);
+    return range.record.withDone(done);
   }
 
   private void writeDone(OwnedRange range) {
@@ -298,15 +340,13 @@
       range.writing = false;
       return;
     }
-    BitSet done = (BitSet) range.record.done().clone();
-    done.or(range.finished);
-    Records.Range next = range.record.withDone(done);
-    List<StateWire.Condition> conditions = new ArrayList<>();
+    Records.Range next = withFinished(range);
+    List<StateWire.Condition> conditions = unchanged(range);
     List<StateWire.Change> changes = new ArrayList<>();
-    conditions.add(new StateWire.Condition(Records.range(range.key), range.version));
     if (!Finish.add(node, range.key, next, conditions, changes)) {
       changes.add(new StateWire.Put(Records.range(range.key), Records.write(next), 0));
     }
+    range.writeAt = -1;
     master.write(
         conditions,
         changes,
@@ -315,4 +355,34 @@
           master.sendDirect();
         });
   }
+
+  /** Writes what is done of ranges that are not through, many at once. */
+  void writePartial(long now) {
+    if (node.store().crowded()) {
+      return;
+    }
+    List<OwnedRange> batch = new ArrayList<>();
+    List<StateWire.Condition> conditions = new ArrayList<>();
+    List<StateWire.Change> changes = new ArrayList<>();
+    int bytes = 0;
+    for (OwnedRange range : ranges.values()) {
+      if (range.writeAt < 0 || range.writing || range.writeAt > now || range.ended) {
+        continue;
+      }
+      Records.Range next = withFinished(range);
+      JsonNode value = Records.write(next);
+      bytes += value.toString().length() + 200;
+      if (batch.size() >= node.settings().state().txnOps() / 2 || bytes > MOST_BYTES) {
+        break;
+      }
+      conditions.addAll(unchanged(range));
+      changes.add(new StateWire.Put(Records.range(range.key), value, 0));
+      range.writing = true;
+      range.writeAt = -1;
+      batch.add(range);
+    }
+    if (!batch.isEmpty()) {
+      master.write(conditions, changes, committed -> batch.forEach(this::written));
+    }
+  }
 }
--- a/src/main/java/org/fieldtrestle/coordination/Rehand.java
+++ b/src/main/java/org/fieldtrestle/coordination/Rehand.java
@@ -99,20 +99,18 @@
             range.key.job(),
             node.view().rangesOf(range.key.job()).keySet().stream().mapToInt(i -> i).max().orElse(0)
                 + 1);
+    String job = Records.job(range.key.job());
     List<StateWire.Condition> conditions = new ArrayList<>();
     List<StateWire.Change> changes = new ArrayList<>();
     conditions.add(new StateWire.Condition(Records.range(range.key), range.version));
-    conditions.add(new StateWire.Condition(Records.range(fresh), 0));
-    conditions.add(
-        new StateWire.Condition(
-            Records.job(range.key.job()), node.view().version(Records.job(range.key.job()))));
+    conditions.add(new StateWire.Condition(job, node.view().version(job)));
     long epoch = node.view().master(to).version();
     conditions.add(new StateWire.Condition(Records.master(to), epoch));
     if (cut == whole.from()) {
-      conditions.remove(1);
       changes.add(
           new StateWire.Put(Records.range(range.key), Records.write(whole.ownedBy(to, epoch)), 0));
     } else {
+      conditions.add(new StateWire.Condition(Records.range(fresh), 0));
       changes.add(
           new StateWire.Put(
               Records.range(range.key), Records.write(whole.between(whole.from(), cut)), 0));
--- /dev/null
+++ b/src/main/java/org/fieldtrestle/coordination/Roster.java
@@ -0,0 +1,242 @@
+package org.fieldtrestle.coordination;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import java.util.function.Consumer;
+import org.fieldtrestle.bookkeeping.Records;
+import org.fieldtrestle.protocol.StateWire;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/**
+ * Writes which machines are a master's, many of them in one value: hundreds come up within a
+ * minute, and a write for each would take all that the state service allows. What comes in while a
+ * write is under way, and for a short while after, goes into the next.
+ */
+final class Roster {
+  private static final Logger LOG = LoggerFactory.getLogger(Roster.class);
+
+  /** Share of a value that is filled, and what a machine takes of it at the most. */
+  private static final double FILLED = 0.8;
+
+  private static final int BYTES_EACH = 24;
+
+  /** Writes of this master's part of what the state service allows that go by between two. */
+  private static final double APART = 3;
+
+  /** What is to become of a machine in the roster. */
+  private sealed interface Wish {}
+
+  private record Add(Records.Machine machine, boolean adopted, Consumer<Boolean> done)
+      implements Wish {}
+
+  private record Up() implements Wish {}
+
+  private record Remove() implements Wish {}
+
+  private final Master master;
+  private final Node node;
+  private final Map<String, Wish> wishes = new LinkedHashMap<>();
+  private boolean busy;
+  private long notBefore;
+
+  Roster(Master master) {
+    this.master = master;
+    this.node = master.node;
+  }
+
+  /**
+   * A machine becomes ours, unless somebody else is quicker.
+   *
+   * @param adopted it was rented by somebody else, or nobody knows by whom, and may be up
+   */
+  void add(
+      String id, String type, String zone, boolean spot, boolean adopted, Consumer<Boolean> done) {
+    long upIn = adopted ? master.epoch : 0;
+    long since = adopted ? 0 : node.reactor().wall();
+    wish(
+        id,
+        new Add(new Records.Machine(master.name, 0, type, zone, spot, since, upIn), adopted, done));
+  }
+
+  /** Tasks may be started on a machine once this is durable. */
+  void up(String id) {
+    wish(id, new Up());
+  }
+
+  /** A machine is gone. */
+  void remove(String id) {
+    wish(id, new Remove());
+  }
+
+  private void wish(String id, Wish wish) {
+    if (wishes.get(id) instanceof Add before) {
+      node.reactor().execute(() -> before.done().accept(false));
+    }
+    wishes.put(id, wish);
+    soon();
+  }
+
+  private void soon() {
+    if (!busy) {
+      busy = true;
+      node.reactor().schedule(Math.max(0, notBefore - node.now()), this::write);
+    }
+  }
+
+  /** One transaction being put together. */
+  private final class Batch {
+    final Map<String, Wish> taken = new LinkedHashMap<>();
+    final List<StateWire.Condition> conditions = new ArrayList<>();
+    final List<StateWire.Change> changes = new ArrayList<>();
+    final Map<Records.RosterKey, TreeMap<String, Records.Machine>> parts = new TreeMap<>(BY_PART);
+
+    TreeMap<String, Records.Machine> part(Records.RosterKey key) {
+      return parts.computeIfAbsent(
+          key, k -> new TreeMap<>(node.view().rosters().getOrDefault(k, Map.of())));
+    }
+
+    /** Room for one more machine: the state service limits both, and its values' size. */
+    boolean open() {
+      return changes.size() + parts.size() + 4 < node.settings().state().txnOps()
+          && conditions.size() + 2 * parts.size() + 16 < 4 * node.settings().state().txnOps()
+          && parts.size() < 3;
+    }
+
+    void include(String id, Wish wish) {
+      Records.Machine known = node.view().machines().get(id);
+      boolean ours = known != null && known.master().equals(master.name);
+      if (wish instanceof Add add) {
+        if (known != null) {
+          wishes.remove(id, wish);
+          node.reactor().execute(() -> add.done().accept(ours));
+          return;
+        }
+        add(id, add);
+      } else if (!ours) {
+        wishes.remove(id, wish);
+        return;
+      } else if (wish instanceof Up) {
+        part(key(known.part())).put(id, known.upIn(master.epoch));
+      } else {
+        part(key(known.part())).remove(id);
+        if (node.view().version(Records.stray(id)) != 0) {
+          changes.add(new StateWire.Delete(Records.stray(id)));
+        }
+      }
+      taken.put(id, wish);
+    }
+
+    private void add(String id, Add add) {
+      int number = 0;
+      int most = (int) (node.settings().state().valueKb() * 1024 * FILLED / BYTES_EACH);
+      while (part(key(number)).size() >= most
+          || !node.view().readable(Records.roster(key(number)))) {
+        number++;
+      }
+      Records.Machine m = add.machine();
+      part(key(number))
+          .put(
+              id,
+              new Records.Machine(
+                  m.master(), number, m.type(), m.zone(), m.spot(), m.sinceWall(), m.upIn()));
+      String stray = Records.stray(id);
+      conditions.add(new StateWire.Condition(stray, node.view().version(stray)));
+      if (add.adopted()) {
+        changes.add(new StateWire.Put(stray, Records.writeStray(master.name), 0));
+      }
+    }
+
+    /** Nobody else may have entered a machine that we adopt since we looked. */
+    private void othersUnchanged() {
+      for (String other : node.view().masters().keySet()) {
+        if (!other.equals(master.name)) {
+          int number = 0;
+          long version;
+          do {
+            String key = Records.roster(new Records.RosterKey(other, number++));
+            version = node.view().version(key);
+            conditions.add(new StateWire.Condition(key, version));
+          } while (version != 0);
+        }
+      }
+    }
+
+    void finish() {
+      if (taken.values().stream().anyMatch(w -> w instanceof Add add && add.adopted())) {
+        othersUnchanged();
+      }
+      parts.forEach(
+          (key, machines) -> {
+            String name = Records.roster(key);
+            long version = node.view().version(name);
+            if (machines.equals(node.view().rosters().getOrDefault(key, Map.of()))) {
+              return; // looked at only
+            }
+            conditions.add(new StateWire.Condition(name, version));
+            changes.add(new StateWire.Put(name, Records.writeRoster(machines), 0));
+          });
+    }
+  }
+
+  private static final Comparator<Records.RosterKey> BY_PART =
+      Comparator.comparingInt(Records.RosterKey::part);
+
+  private Records.RosterKey key(int part) {
+    return new Records.RosterKey(master.name, part);
+  }
+
+  private void write() {
+    busy = false;
+    if (master.isOver() || wishes.isEmpty()) {
+      return;
+    }
+    Batch batch = new Batch();
+    for (Map.Entry<String, Wish> one : new LinkedHashMap<>(wishes).entrySet()) {
+      if (!batch.open()) {
+        break;
+      }
+      batch.include(one.getKey(), one.getValue());
+    }
+    if (batch.taken.isEmpty()) {
+      return;
+    }
+    batch.finish();
+    if (batch.changes.isEmpty()) { // all of it is so already
+      done(batch, true);
+      return;
+    }
+    busy = true;
+    notBefore =
+        node.now()
+            + Math.round(1000 * APART / node.settings().share(node.settings().state().writeRps()));
+    master.write(
+        batch.conditions,
+        batch.changes,
+        committed -> {
+          busy = false;
+          done(batch, committed);
+          if (!wishes.isEmpty()) {
+            soon();
+          }
+        });
+  }
+
+  private void done(Batch batch, boolean committed) {
+    if (!committed) {
+      return; // looked at anew, as the state has been read on
+    }
+    LOG.debug("{} machines written", batch.taken.size());
+    batch.taken.forEach(
+        (id, wish) -> {
+          wishes.remove(id, wish);
+          if (wish instanceof Add add) {
+            add.done().accept(true);
+          }
+        });
+  }
+}
--- a/src/main/java/org/fieldtrestle/protocol/WorkerWire.java
+++ b/src/main/java/org/fieldtrestle/protocol/WorkerWire.java
@@ -11,6 +11,7 @@
 public final class WorkerWire {
   public static final String REPORT = "/hello";
   public static final String COMMANDS = "/commands";
+  public static final String INSPECT = "/inspect";
 
   /** A worker waits so long for the answer to a report. */
   public static final long ANSWER_WITHIN_MS = 4000;
--- a/src/test/java/org/fieldtrestle/bookkeeping/RecordsTest.java
+++ b/src/test/java/org/fieldtrestle/bookkeeping/RecordsTest.java
@@ -5,16 +5,21 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.nio.charset.StandardCharsets;
 import java.util.BitSet;
+import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.TreeMap;
 import net.jqwik.api.ForAll;
 import net.jqwik.api.Property;
 import net.jqwik.api.constraints.AlphaChars;
 import net.jqwik.api.constraints.IntRange;
 import net.jqwik.api.constraints.Size;
 import net.jqwik.api.constraints.StringLength;
+import org.fieldtrestle.protocol.JobSpec;
 import org.fieldtrestle.protocol.Json;
+import org.fieldtrestle.protocol.UserWire;
 import org.junit.jupiter.api.Test;
 
 class RecordsTest {
@@ -55,6 +60,57 @@
     assertEquals(set.cardinality() == size, range.complete());
   }
 
+  @Property(tries = 200, seed = "15")
+  void rostersAreReadAsTheyWereWritten(
+      @ForAll @Size(max = 60) Map<@IntRange(max = 2000) Integer, @IntRange(max = 5) Integer> some)
+      throws Records.Unreadable {
+    Records.RosterKey key = new Records.RosterKey("trestle-1", 2);
+    Map<String, Records.Machine> machines = new TreeMap<>();
+    some.forEach(
+        (number, kind) ->
+            machines.put(
+                String.format("host-%06d", number),
+                new Records.Machine(
+                    "trestle-1",
+                    2,
+                    kind % 2 == 0 ? "big" : "odd",
+                    kind % 3 == 0 ? "a" : "b",
+                    kind > 2,
+                    kind == 0 ? 77 : 0,
+                    kind == 0 ? 0 : 400 + kind)));
+    assertEquals(machines, Records.readRoster(key, Records.writeRoster(machines)));
+    assertEquals(key, Records.key(Records.roster(key)));
+  }
+
+  @Test
+  void aJobIsReadAsItWasWrittenAndAlsoInTheFormBefore() throws Exception {
+    JobSpec spec =
+        UserWire.readJob(
+            """
+            {"uid":"job-000412","lot":"train","crew":"vision","cut":"array","urgency":"urgent",
+             "boards":16,"cpus":8.0,"gpus":1.0,"memoryGb":64.0,"blueprint":"img-07","pullGb":6.2,
+             "rigs":["g8"],"yard":null,"together":true,"scatter":false,"loaners":true,
+             "expectedS":240.0,"tallyS":30.0,"stackS":4.0,"dueS":900.0}"""
+                .getBytes(StandardCharsets.UTF_8));
+    Records.Job job =
+        new Records.Job(
+            spec,
+            1234,
+            "a",
+            List.of(
+                new Records.Part("m0", 9, 0, 10, Map.of("a", 5)),
+                new Records.Part("m1", 11, 10, 16, Map.of())));
+    assertEquals(job, Records.readJob(Records.write(job)));
+    assertEquals(
+        new Records.Range("m1", 11, 10, 16, new BitSet(), Map.of(), "vision", 8, 1), job.range(1));
+    ObjectNode former = (ObjectNode) Records.write(job);
+    former.put("f", 1).put("ranges", 2).remove("parts");
+    assertEquals(
+        new Records.Job(spec, 1234, "a", List.of()),
+        Records.readJob(former),
+        "its ranges have records of their own");
+  }
+
   @Test
   void aRecordOfAnotherFormIsRefusedByName() {
     ObjectNode other = (ObjectNode) Records.write(new Records.Master("trestle-0"));
--- a/src/test/java/org/fieldtrestle/coordination/FalconTest.java
+++ b/src/test/java/org/fieldtrestle/coordination/FalconTest.java
@@ -2,14 +2,18 @@
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertNull;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Set;
 import java.util.SplittableRandom;
+import java.util.TreeSet;
 import net.jqwik.api.ForAll;
 import net.jqwik.api.Property;
 import net.jqwik.api.constraints.DoubleRange;
+import net.jqwik.api.constraints.IntRange;
 import net.jqwik.api.constraints.Size;
 import org.fieldtrestle.protocol.Priority;
 import org.junit.jupiter.api.Test;
@@ -77,6 +81,57 @@
     assertEquals(highest, falcon.next(queue).priority());
   }
 
+  /** The plain form: the whole list is ranked anew for each task that is drawn. */
+  @Property(tries = 300, seed = "33")
+  void oneSortingDrawsWhatRankingAnewEachTimeWould(
+      @ForAll @Size(min = 1, max = 25) List<@IntRange(max = 12) Integer> scores,
+      @ForAll @Size(min = 1, max = 25) List<Priority> priorities,
+      @ForAll @IntRange(min = 1, max = 9) int most,
+      @ForAll long seed) {
+    List<Falcon.Waiting<Integer>> plain = new ArrayList<>();
+    for (int i = 0; i < scores.size(); i++) {
+      Priority priority = priorities.get(i % priorities.size());
+      plain.add(new Falcon.Waiting<>(i, priority, scores.get(i), 1 + (i * 7) % most));
+    }
+    Falcon ranked = new Falcon(PAPER, new SplittableRandom(seed));
+    Falcon.Queue<Integer> queue =
+        new Falcon(PAPER, new SplittableRandom(seed)).new Queue<>(List.copyOf(plain));
+    SplittableRandom outcome = new SplittableRandom(seed);
+    while (!plain.isEmpty()) {
+      Falcon.Waiting<Integer> expected = ranked.next(plain);
+      Falcon.Slot<Integer> slot = queue.next();
+      assertEquals(expected.what(), slot.group().what());
+      int at = plain.indexOf(expected);
+      if (outcome.nextInt(4) == 0 || expected.count() == 1) { // found no room, or was the last
+        assertEquals(expected.count(), slot.takeAll());
+        plain.remove(at);
+      } else {
+        slot.takeOne();
+        plain.set(
+            at,
+            new Falcon.Waiting<>(
+                expected.what(), expected.priority(), expected.score(), expected.count() - 1));
+      }
+    }
+    assertNull(queue.next());
+  }
+
+  @Property(tries = 300, seed = "34")
+  void conditionThreeForAllAtOnceIsConditionThreeForEach(
+      @ForAll @Size(max = 40) List<@IntRange(max = 15) Integer> scores,
+      @ForAll @Size(min = 1, max = 40) List<Priority> priorities) {
+    List<Falcon.Waiting<Integer>> queue = new ArrayList<>();
+    for (int i = 0; i < scores.size(); i++) {
+      Priority priority = priorities.get(i % priorities.size());
+      queue.add(new Falcon.Waiting<>(i, priority, scores.get(i), 1 + i % 5));
+    }
+    Set<Integer> each = new TreeSet<>();
+    queue.stream().filter(w -> falcon.outscoresEnough(w, queue)).forEach(w -> each.add(w.what()));
+    Set<Integer> atOnce = new TreeSet<>();
+    falcon.outscoringEnough(queue).forEach(w -> atOnce.add(w.what()));
+    assertEquals(each, atOnce);
+  }
+
   @Test
   void anAgedSwarmEvictsNobodyOfItsOwnPriority() {
     Falcon.Waiting<String> aged = waiting("aged", Priority.NORMAL, 5000);
--- a/src/test/java/org/fieldtrestle/rehearsal/ContainmentTest.java
+++ b/src/test/java/org/fieldtrestle/rehearsal/ContainmentTest.java
@@ -27,6 +27,8 @@
           "ft/live/job/job-77",
           "ft/live/range/job-78/0",
           "ft/live/machine/host-000900",
+          "ft/live/roster/trestle-9/0",
+          "ft/live/roster/trestle-0/7",
           "ft/live/quota/open",
           "ft/live/member/nobody",
           "ft/live/master/trestle-9",
--- a/src/test/java/org/fieldtrestle/rehearsal/WorkerStandIn.java
+++ b/src/test/java/org/fieldtrestle/rehearsal/WorkerStandIn.java
@@ -269,6 +269,10 @@
       return;
     }
     checkLease();
+    if (request.path().equals("/inspect")) {
+      reply.accept(new Http.Response(200, report()));
+      return;
+    }
     JsonNode body = Json.parseOrEmpty(request.body());
     if (!body.has("warrant") || !body.has("shift")) {
       reply.accept(new Http.Response(400, Http.Response.EMPTY));
