--- a/src/main/java/org/fieldtrestle/coordination/Eviction.java
+++ b/src/main/java/org/fieldtrestle/coordination/Eviction.java
@@ -101,7 +101,10 @@
   }
 
   private boolean mayEvict(Falcon.Waiting<Group> one, long now) {
-    return one.what().waitedS(now) >= node.evictWaitS(one.what().range().spec);
+    double waited = one.what().waitedS(now);
+    OwnedRange range = one.what().range();
+    return waited >= node.evictWaitS(range.spec, false)
+        || waited >= node.evictWaitS(range.spec, true) && shares.guaranteed(range);
   }
 
   private boolean anyMay(List<Falcon.Waiting<Group>> stuck, long now) {
--- a/src/main/java/org/fieldtrestle/coordination/Faults.java
+++ b/src/main/java/org/fieldtrestle/coordination/Faults.java
@@ -55,7 +55,9 @@
     job.succeeded = true;
     job.suspect = false;
     crawled(task, now);
-    if (task.runningSince >= 0) {
+    // Of a task that was found running only the rest was seen. Taken for the whole, it made all the
+    // job's other tasks look slow after a restart, and hundreds of good machines were closed.
+    if (task.runningSince >= 0 && !task.found) {
       job.runSeconds += task.elapsedS(now);
       job.runs++;
     }
--- a/src/main/java/org/fieldtrestle/coordination/Machines.java
+++ b/src/main/java/org/fieldtrestle/coordination/Machines.java
@@ -416,6 +416,7 @@
             node.now(),
             (node.now() - range.waitingSince) / 1000.0);
     task.startSent = true;
+    task.found = true;
     host.put(task);
     range.place(offset, task);
     if (range.ended) {
--- a/src/main/java/org/fieldtrestle/coordination/Node.java
+++ b/src/main/java/org/fieldtrestle/coordination/Node.java
@@ -24,6 +24,9 @@
     Loads loads,
     Stats stats) {
 
+  /** A task may evict once this part of the time in which it is to start has gone by. */
+  private static final double EVICT_AFTER = 6;
+
   public CloudWire.MachineType type(String name) {
     for (CloudWire.MachineType type : cloud.types()) {
       if (type.name().equals(name)) {
@@ -46,22 +49,47 @@
     return membership.acting();
   }
 
-  /** Whether tasks of the job's class are to start within some time. */
+  /**
+   * Whether tasks of the job are to start within some time: its class has such an objective, or its
+   * deadline leaves less time than a machine takes to come up, so that room has to be there.
+   */
   boolean hurried(JobSpec spec) {
+    return spec.deadlineS() >= 0 && spec.deadlineS() - spec.estimateS() < bootS()
+        || waitWithinS(spec) < Double.MAX_VALUE;
+  }
+
+  private double bootS() {
+    double least = Double.MAX_VALUE;
+    for (CloudWire.MachineType type : types()) {
+      least = Math.min(least, type.bootS());
+    }
+    return least == Double.MAX_VALUE ? 0 : least;
+  }
+
+  private double waitWithinS(JobSpec spec) {
+    double within = Double.MAX_VALUE;
     for (Settings.Objective aim : settings.objectives()) {
       if (aim.kind().equals("wait") && aim.jobClass().equals(spec.jobClass())) {
-        return true;
+        within = Math.min(within, aim.withinS());
       }
     }
-    return false;
+    return within;
   }
 
-  /** A class that is to start within some time may evict after a part of it, if that is sooner. */
-  double evictWaitS(JobSpec spec) {
-    double wait = tuning.evictWaitS();
-    for (Settings.Objective aim : settings.objectives()) {
-      if (aim.kind().equals("wait") && aim.jobClass().equals(spec.jobClass())) {
-        wait = Math.min(wait, aim.withinS() / 6);
+  /**
+   * How long a task waits for room before it may evict: less than usual where that would be more
+   * than a part of the time within which it is to start.
+   */
+  double evictWaitS(JobSpec spec, boolean guaranteed) {
+    double wait = Math.min(tuning.evictWaitS(), waitWithinS(spec) / EVICT_AFTER);
+    if (hurried(spec) && spec.deadlineS() >= 0) {
+      wait = Math.min(wait, Math.max(0, spec.deadlineS() - spec.estimateS()) / EVICT_AFTER);
+    }
+    if (guaranteed) {
+      for (Settings.Objective aim : settings.objectives()) {
+        if (aim.kind().equals("guarantee")) {
+          wait = Math.min(wait, aim.withinS() / EVICT_AFTER);
+        }
       }
     }
     return wait;
--- a/src/main/java/org/fieldtrestle/coordination/Placed.java
+++ b/src/main/java/org/fieldtrestle/coordination/Placed.java
@@ -58,6 +58,10 @@
 
   final long placedAt;
   long runningSince = -1;
+
+  /** Its beginning was not seen: it was there when this epoch found it. */
+  boolean found;
+
   final double waitedS;
 
   Placed(TaskId task, long attempt, Host host, OwnedRange range, long now, double waitedS) {
--- a/src/main/java/org/fieldtrestle/coordination/Roster.java
+++ b/src/main/java/org/fieldtrestle/coordination/Roster.java
@@ -25,6 +25,9 @@
 
   private static final int BYTES_EACH = 24;
 
+  /** What a transaction may hold, less what is in it beside values. */
+  private static final double MOST_KB = 56;
+
   /** Writes of this master's part of what the state service allows that go by between two. */
   private static final double APART = 3;
 
@@ -100,11 +103,19 @@
           key, k -> new TreeMap<>(node.view().rosters().getOrDefault(k, Map.of())));
     }
 
-    /** Room for one more machine: the state service limits both, and its values' size. */
+    /** Room for one more machine: the state service limits both. */
     boolean open() {
       return changes.size() + parts.size() + 4 < node.settings().state().txnOps()
-          && conditions.size() + 2 * parts.size() + 16 < 4 * node.settings().state().txnOps()
-          && parts.size() < 3;
+          && conditions.size() + 2 * parts.size() + 16 < 4 * node.settings().state().txnOps();
+    }
+
+    /**
+     * Whether another part still fits the transaction. One that does not waits for the next, while
+     * machines of those that are in it go on: else a master of many parts writes few at a time.
+     */
+    private boolean fits(int part) {
+      return parts.containsKey(key(part))
+          || (parts.size() + 1) * node.settings().state().valueKb() <= MOST_KB;
     }
 
     void include(String id, Wish wish) {
@@ -117,9 +128,12 @@
           return;
         }
         add(id, add);
+        return;
       } else if (!ours) {
         wishes.remove(id, wish);
         return;
+      } else if (!fits(known.part())) {
+        return;
       } else if (wish instanceof Up) {
         part(key(known.part())).put(id, known.upIn(master.epoch));
       } else {
@@ -131,13 +145,23 @@
       taken.put(id, wish);
     }
 
+    private int sizeOf(int part) {
+      Map<String, Records.Machine> changed = parts.get(key(part));
+      return changed != null
+          ? changed.size()
+          : node.view().rosters().getOrDefault(key(part), Map.of()).size();
+    }
+
     private void add(String id, Add add) {
       int number = 0;
       int most = (int) (node.settings().state().valueKb() * 1024 * FILLED / BYTES_EACH);
-      while (part(key(number)).size() >= most
-          || !node.view().readable(Records.roster(key(number)))) {
+      while (sizeOf(number) >= most || !node.view().readable(Records.roster(key(number)))) {
         number++;
       }
+      if (!fits(number)) {
+        return;
+      }
+      taken.put(id, add);
       Records.Machine m = add.machine();
       part(key(number))
           .put(
--- a/src/main/java/org/fieldtrestle/coordination/Split.java
+++ b/src/main/java/org/fieldtrestle/coordination/Split.java
@@ -74,12 +74,19 @@
     double cpus = Math.max(spec.cpus(), 0.1);
     Map<String, Double> waiting = new HashMap<>();
     candidates.forEach(c -> waiting.put(c.master(), c.waitingCpus()));
+    // One with few machines rents for what it is given. Were it given little for having few, the
+    // first to rent would get nearly all the work, and so nearly all the machines.
+    double usual = 0;
+    for (Candidate candidate : candidates) {
+      usual += candidate.capacityCpus() / candidates.size();
+    }
+    double floor = Math.max(cpus, usual);
     int bite = Math.max(1, left / (4 * candidates.size()));
     while (left > 0) {
       Candidate least = candidates.get(0);
       for (Candidate candidate : candidates) {
-        if (waiting.get(candidate.master()) / Math.max(cpus, candidate.capacityCpus())
-            < waiting.get(least.master()) / Math.max(cpus, least.capacityCpus())) {
+        if (waiting.get(candidate.master()) / Math.max(floor, candidate.capacityCpus())
+            < waiting.get(least.master()) / Math.max(floor, least.capacityCpus())) {
           least = candidate;
         }
       }
