Patience by the slack that a deadline leaves; machines closed by how much lacks room

Cause: on a large fleet something always waits for a moment, so that no machine was ever closed before the end; tasks waiting for their image's machines counted as lacking room.

--- a/src/main/java/org/fieldtrestle/coordination/Fleet.java
+++ b/src/main/java/org/fieldtrestle/coordination/Fleet.java
@@ -39,9 +39,10 @@
   private double arrivedWork;
   private double load;
   private long loadAt = -1;
-  private long calmSince;
 
-  /** As of the last look: whether anything waits, cheap machines, and by zone all and silent. */
+  /**
+   * As of the last look: whether anything lacks room, cheap machines, and by zone all and silent.
+   */
   private boolean waiting;
 
   private int cheap;
@@ -72,12 +73,12 @@
   void tick(long now) {
     faults.forgetEnded();
     list(now);
-    waiting = master.ranges().anyWaiting();
+    waiting = master.shortCpus() > 0;
     look(now);
     for (Host host : master.machines().all()) {
       judge(host, now);
     }
-    close(now);
+    close();
     giveBack(now);
     rent(now);
   }
@@ -145,7 +146,7 @@
   /** A cheap machine is kept for a while where the usual flow of work will want it again. */
   private long idleMs(Host host, MachineType type) {
     if (host.closing) {
-      return node.reportMs(1);
+      return Math.round(type.bootS() * 250);
     }
     boolean wanted = host.spot && cheap <= target();
     return Math.round(type.bootS() * (wanted ? 2000 : 500));
@@ -153,40 +154,49 @@
 
   /**
    * Closes machines whose room is not needed: they take nothing new and go when they are empty. The
-   * dearest go first, of these the least used. They open again as soon as anything waits.
+   * dearest go first, of these the least used. They open again, the most used first, for what finds
+   * no room; on a large fleet something always waits for a moment, so that what counts is how much.
    */
-  private void close(long now) {
+  private void close() {
     List<Host> open = new ArrayList<>();
-    double surplus = -master.reserve();
+    List<Host> closed = new ArrayList<>();
+    double surplus = -master.reserve() - master.shortCpus();
     for (Host host : master.machines().all()) {
-      if (waiting) {
-        host.closing = false;
-      }
       MachineType type = node.type(host.type);
-      if (type != null && host.up && !host.closing && master.machines().usable(host, now)) {
+      if (type == null || !host.up || host.draining) {
+        continue;
+      }
+      if (host.closing) {
+        closed.add(host);
+      } else if (master.machines().usable(host, node.now())) {
         open.add(host);
         surplus += type.cpus() - host.usedCpus();
       }
     }
-    if (waiting || open.size() < 2) {
-      calmSince = now;
-      return;
+    Comparator<Host> order =
+        Comparator.comparing((Host host) -> host.spot).thenComparingDouble(Host::usedCpus);
+    closed.sort(order.reversed());
+    for (Host host : closed) {
+      if (surplus >= 0 && master.shortCpus() == 0) {
+        break;
+      }
+      host.closing = false;
+      surplus += node.type(host.type).cpus() - host.usedCpus();
     }
-    // Room that is free for a moment only is wanted again before another machine could boot.
-    if (now - calmSince < master.node.types().get(0).bootS() * 500) {
+    if (open.size() < 2 || master.shortCpus() > 0) {
       return;
     }
-    open.sort(Comparator.comparing((Host host) -> host.spot).thenComparingDouble(Host::usedCpus));
+    open.sort(order);
+    int left = open.size();
     for (Host host : open) {
       MachineType type = node.type(host.type);
       double free = type.cpus() - host.usedCpus();
-      if (surplus - free < type.cpus() * (host.spot ? 0.75 : 0.25)) {
-        return;
-      }
-      if (host.spot && open.size() <= target()) {
+      if (surplus - free < type.cpus() * (host.spot ? 0.75 : 0.25)
+          || host.spot && left <= target()) {
         return;
       }
       host.closing = true;
+      left--;
       surplus -= free;
     }
   }
--- a/src/main/java/org/fieldtrestle/coordination/Master.java
+++ b/src/main/java/org/fieldtrestle/coordination/Master.java
@@ -171,6 +171,10 @@
     return placement.reserve();
   }
 
+  double shortCpus() {
+    return placement.shortCpus();
+  }
+
   void sendDirect() {
     machines.sendDirect();
   }
--- a/src/main/java/org/fieldtrestle/coordination/Placement.java
+++ b/src/main/java/org/fieldtrestle/coordination/Placement.java
@@ -19,9 +19,14 @@
   /** Share of all CPUs that is kept for classes that hurry at the most. */
   private static final double RESERVED_AT_MOST = 0.25;
 
-  /** A machine that has the image is waited for during this share of a fetch at the most. */
+  /** A machine that has the image is waited for during this share of a fetch in any case. */
   private static final double PATIENCE = 0.4;
 
+  /** Or during this share of the time that the deadline leaves, but for no more fetches than so. */
+  private static final double PATIENT_SLACK = 0.6;
+
+  private static final double PATIENT_FETCHES = 3;
+
   /** A job counts as late once this share of its estimate no longer fits before its deadline. */
   private static final double LATE_AT = 0.7;
 
@@ -48,6 +53,7 @@
   private final Decisions decisions;
   private final Eviction eviction;
   private double urgentCpus;
+  private double shortCpus;
   private long steps;
 
   Placement(
@@ -135,6 +141,13 @@
     }
   }
 
+  /**
+   * CPUs that tasks lacked in the last pass; those that wait for their image's machines lack none.
+   */
+  double shortCpus() {
+    return shortCpus;
+  }
+
   /** A range that is new here. */
   void arrived(OwnedRange range) {
     if (range.spec != null && node.hurried(range.spec) && range.key.index() == 0) {
@@ -155,6 +168,7 @@
 
   /** Places what fits and lets what does not evict; does nothing where nothing waits. */
   void pass(long now) {
+    shortCpus = 0;
     List<Falcon.Waiting<Group>> groups = waiting(now);
     if (groups.isEmpty()) {
       return;
@@ -241,6 +255,7 @@
         continue;
       }
       Host.Room room = null;
+      boolean waits = false;
       // Room only shrinks within a step: what one task of a range did not find, none finds.
       if (range.noRoomIn != step && !pass.kept(range.spec) && shares.allows(range.spec)) {
         room = choose(pass, range, next.what().first());
@@ -249,6 +264,7 @@
         } else if (!room.host.hasImage(range.spec.image())
             && !room.host.claimedBy(range, pass.now)
             && (withImage ? !pressing(next.what(), pass.now) : patient(pass, range))) {
+          waits = true;
           room = null;
         }
       }
@@ -305,27 +321,49 @@
    * would end. Our exception to the paper, which leaves data locality open.
    */
   private boolean patient(Pass pass, OwnedRange range) {
-    return pass.patient.computeIfAbsent(range, r -> patientFor(pass, r.spec));
+    return pass.patient.computeIfAbsent(range, r -> patientFor(pass, r));
   }
 
-  private boolean patientFor(Pass pass, JobSpec spec) {
+  private boolean patientFor(Pass pass, OwnedRange range) {
+    JobSpec spec = range.spec;
     if (node.hurried(spec)) {
       return false;
     }
     double fetchS = 0;
     double slots = 0;
     for (Host host : machines.all()) {
+      if (!host.hasImage(spec.image()) || !machines.mayStart(host) || host.draining) {
+        continue;
+      }
       MachineType type = node.type(host.type);
-      if (type != null
-          && machines.mayStart(host)
-          && !host.draining
-          && host.hasImage(spec.image())) {
-        slots += Fleet.perMachine(type, spec);
+      if (type != null) {
+        slots += slotsFor(host, type, spec);
         fetchS = Math.max(fetchS, Fleet.fetchS(type, spec));
       }
     }
-    return slots > 0
-        && pass.workByImage.getOrDefault(spec.image(), 0.0) / slots < fetchS * PATIENCE;
+    double patience = fetchS * PATIENCE;
+    if (spec.deadlineS() >= 0) {
+      double left = spec.deadlineS() - spec.estimateS() - (pass.now - range.waitingSince) / 1000.0;
+      patience = Math.max(patience, Math.min(left * PATIENT_SLACK, fetchS * PATIENT_FETCHES));
+    }
+    return slots > 0 && pass.workByImage.getOrDefault(spec.image(), 0.0) / slots < patience;
+  }
+
+  /**
+   * Tasks of a job that a machine has room for, counting what tasks of the same image will leave.
+   */
+  private static double slotsFor(Host host, MachineType type, JobSpec spec) {
+    double others = 0;
+    for (Placed task : host.placed()) {
+      if (task.live()
+          && (task.range == null
+              || task.range.spec == null
+              || !task.range.spec.image().equals(spec.image()))) {
+        others += task.cpus;
+      }
+    }
+    int all = Fleet.perMachine(type, spec);
+    return spec.cpus() > 0 ? Math.min(all, Math.floor((type.cpus() - others) / spec.cpus())) : all;
   }
 
   static boolean allowed(Faults faults, OwnedRange range, int offset, Host host) {
--- a/src/main/java/org/fieldtrestle/coordination/Ranges.java
+++ b/src/main/java/org/fieldtrestle/coordination/Ranges.java
@@ -60,16 +60,6 @@
     return null;
   }
 
-  /** Whether anything waits for a machine. */
-  boolean anyWaiting() {
-    for (OwnedRange range : ranges.values()) {
-      if (!range.ended && range.waiting() > 0) {
-        return true;
-      }
-    }
-    return false;
-  }
-
   double waitingCpus() {
     double waiting = 0;
     for (OwnedRange range : ranges.values()) {
