A controller cut off from the state service steps aside; sockets for all machines' reports

A node that only the state service refuses kept its users, whose polls it could not answer, for as long as it was refused. It is not ready now while a peer says that it is served, closes its users' connections with the 503, and answers at once instead of asking again. Where nobody is served all stay ready: the load balancer takes longer to come back with every removal.

--- a/src/main/java/org/fieldtrestle/Main.java
+++ b/src/main/java/org/fieldtrestle/Main.java
@@ -93,12 +93,13 @@
     NettyReactor reactor = new NettyReactor(group.next());
     int sockets = settings.limits().maxConnections();
     long idleMs = Math.round(settings.workers().leaseS() * 2000);
-    HttpClient client = new HttpClient(group.next(), sockets / 4);
+    // One controller alone has the reports of all machines, and users besides.
+    HttpClient client = new HttpClient(group.next(), sockets / 5);
     PeerNet peers = new PeerNet(group, PeerWire.MAX_FRAME, sockets / 16, idleMs);
     Controller controller =
         new Controller(
             settings, tuning, reactor, RandomGenerator.of("L64X128MixRandom"), client, peers);
-    HttpServer server = new HttpServer(group, controller, sockets / 2, idleMs);
+    HttpServer server = new HttpServer(group, controller, sockets * 7 / 10, idleMs);
     server.start(address(settings.userAddress()));
     peers.start(
         address(settings.peerAddress()),
--- a/src/main/java/org/fieldtrestle/bookkeeping/Store.java
+++ b/src/main/java/org/fieldtrestle/bookkeeping/Store.java
@@ -46,6 +46,7 @@
   private final Bucket writes;
   private final ArrayDeque<Queued> queue = new ArrayDeque<>();
   private boolean draining;
+  private long failingSince = -1;
   private final Histogram latency = new Histogram(60_000, 2);
 
   public Store(Reactor reactor, Http.Caller caller, Settings settings) {
@@ -58,6 +59,26 @@
     this.writes = new Bucket(settings.share(settings.state().writeRps()) * 0.95);
   }
 
+  /** For how long the state service has answered nothing that we asked; 0 while it does. */
+  public long unansweredMs() {
+    return failingSince < 0 ? 0 : reactor.now() - failingSince;
+  }
+
+  private void note(Http.Outcome outcome) {
+    if (outcome instanceof Http.Answer answer) {
+      if (answer.status() < 500 && answer.status() != 429) {
+        failingSince = -1;
+        return;
+      }
+      if (answer.status() == 429) {
+        return; // it is there, and we ask too much
+      }
+    }
+    if (failingSince < 0) {
+      failingSince = reactor.now();
+    }
+  }
+
   public Histogram latency() {
     return latency;
   }
@@ -235,6 +256,7 @@
         body,
         timeout,
         outcome -> {
+          note(outcome);
           if (timeout == timeoutMs) {
             latency.recordValue(Math.min(60_000, Math.max(0, reactor.now() - sent)));
           }
--- a/src/main/java/org/fieldtrestle/coordination/Controller.java
+++ b/src/main/java/org/fieldtrestle/coordination/Controller.java
@@ -4,6 +4,7 @@
 import com.github.benmanes.caffeine.cache.Caffeine;
 import java.nio.ByteBuffer;
 import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
@@ -45,6 +46,7 @@
       Caffeine.newBuilder().maximumSize(10_000).executor(Runnable::run).build();
 
   private final Set<String> knownMachines = new HashSet<>();
+  private final Map<String, Heard> pulses = new HashMap<>();
 
   public Controller(
       Settings settings,
@@ -75,7 +77,28 @@
             membership,
             loads,
             new Stats());
-    this.gateway = new Gateway(node, this::running);
+    this.gateway =
+        new Gateway(
+            node,
+            this::running,
+            new Gateway.Peers() {
+              @Override
+              public boolean anyServed() {
+                return pulses.values().stream().anyMatch(p -> p.served() && fresh(p));
+              }
+
+              @Override
+              public boolean anyHeard() {
+                return pulses.values().stream().anyMatch(p -> fresh(p));
+              }
+            });
+  }
+
+  /** When another controller was heard of last, and whether the state service answered it. */
+  private record Heard(long at, boolean served) {}
+
+  private boolean fresh(Heard heard) {
+    return reactor.now() - heard.at() <= node.reportMs(0.8);
   }
 
   public void start() {
@@ -122,6 +145,11 @@
   }
 
   private void gossip() {
+    ByteBuffer pulse =
+        PeerWire.encode(
+            new PeerWire.Pulse(
+                node.settings().label(), view.ready() && node.store().unansweredMs() == 0));
+    node.settings().peers().forEach(p -> peers.send(p.address(), pulse.duplicate()));
     if (node.acting()) {
       for (Master master : masters.values()) {
         if (master.isActive()) {
@@ -138,9 +166,11 @@
   /** A frame from another controller, without its length. */
   public void frame(ByteBuffer frame) {
     try {
-      if (PeerWire.decode(frame) instanceof PeerWire.Load load
-          && !masters.containsKey(load.master())) {
+      PeerWire.Message message = PeerWire.decode(frame);
+      if (message instanceof PeerWire.Load load && !masters.containsKey(load.master())) {
         loads.heard(load);
+      } else if (message instanceof PeerWire.Pulse pulse) {
+        pulses.put(pulse.sender(), new Heard(reactor.now(), pulse.served()));
       }
     } catch (PeerWire.BadFrame e) {
       LOG.warn("peer frame refused: {}", e.getMessage());
--- a/src/main/java/org/fieldtrestle/coordination/Gateway.java
+++ b/src/main/java/org/fieldtrestle/coordination/Gateway.java
@@ -46,6 +46,7 @@
   private final Barrier barrier;
   private final Loads loads;
   private final Running running;
+  private final Peers peers;
   private final Cache<String, Records.Final> ended =
       Caffeine.newBuilder().maximumSize(REMEMBERED).executor(Runnable::run).build();
   private int submitting;
@@ -55,17 +56,46 @@
     int of(String job);
   }
 
-  public Gateway(Node node, Running running) {
+  /** What the other controllers say of the state service. */
+  public interface Peers {
+    /** Whether any that we hear of is answered by it. */
+    boolean anyServed();
+
+    /** Whether we hear of any at all. */
+    boolean anyHeard();
+  }
+
+  public Gateway(Node node, Running running, Peers peers) {
     super(node.reactor());
     this.node = node;
     this.barrier = new Barrier(node);
     this.loads = node.loads();
     this.running = running;
+    this.peers = peers;
   }
 
   /** Whether this node can take requests. */
   public boolean ready() {
-    return node.view().ready() && !node.types().isEmpty();
+    return node.view().ready() && !node.types().isEmpty() && !cutOff();
+  }
+
+  /**
+   * Whether the state service does not answer us though it answers others: then users are better
+   * off there. Where it answers nobody, leaving would only keep them away for longer, since the
+   * load balancer takes its time to come back. Hearing of nobody tells neither; once our own lease
+   * must have ended, we step aside.
+   */
+  private boolean cutOff() {
+    long unanswered = node.store().unansweredMs();
+    long patience = node.settings().stateLeaseMs() / 12;
+    return unanswered > patience
+        && (peers.anyServed() || !peers.anyHeard() && unanswered > node.settings().stateLeaseMs());
+  }
+
+  /** Whether asking the state service once more only keeps a user waiting. */
+  private boolean hopeless() {
+    return !node.view().ready()
+        || node.store().unansweredMs() > node.settings().stateLeaseMs() / 12;
   }
 
   @Override
@@ -93,7 +123,7 @@
   }
 
   private Http.Response later() {
-    return new Http.Response(503, Http.Response.EMPTY, 1);
+    return new Http.Response(503, Http.Response.EMPTY, 1, cutOff());
   }
 
   private static Http.Response refuse(int status, String reason) {
@@ -110,7 +140,7 @@
       reply.accept(refuse(400, e.getMessage()));
       return;
     }
-    if (!node.view().ready()) {
+    if (hopeless()) {
       reply.accept(later());
       return;
     }
@@ -255,7 +285,7 @@
       reply.accept(refuse(404, "no such job"));
       return;
     }
-    if (!node.view().ready()) {
+    if (hopeless()) {
       reply.accept(later());
       return;
     }
@@ -325,7 +355,7 @@
       reply.accept(finalAnswer(id, end, true));
       return;
     }
-    if (!node.view().ready()) {
+    if (hopeless()) {
       reply.accept(later());
       return;
     }
--- a/src/main/java/org/fieldtrestle/protocol/PeerWire.java
+++ b/src/main/java/org/fieldtrestle/protocol/PeerWire.java
@@ -16,6 +16,7 @@
   private static final short MAGIC = 0x4654;
   private static final byte VERSION = 1;
   private static final byte LOAD = 1;
+  private static final byte PULSE = 2;
   private static final int MAX_ITEMS = 64;
 
   private PeerWire() {}
@@ -38,6 +39,9 @@
       List<Room> rooms)
       implements Message {}
 
+  /** That a controller is there, and whether the state service answers it. */
+  public record Pulse(String sender, boolean served) implements Message {}
+
   /** A frame that is not ours or was damaged. */
   public static final class BadFrame extends Exception {
     private static final long serialVersionUID = 1;
@@ -62,6 +66,11 @@
         out.putDouble(room.cpus()).putDouble(room.gpus()).putDouble(room.memoryGb());
       }
     }
+    if (message instanceof Pulse pulse) {
+      out.put(PULSE);
+      putText(out, pulse.sender());
+      out.put((byte) (pulse.served() ? 1 : 0));
+    }
     out.putInt(0, out.position() - 4);
     return out.flip();
   }
@@ -92,6 +101,7 @@
       Message message =
           switch (kind) {
             case LOAD -> readLoad(in);
+            case PULSE -> new Pulse(getText(in), in.get() != 0);
             default -> throw new BadFrame("kind " + kind);
           };
       if (in.hasRemaining()) {
--- a/src/main/java/org/fieldtrestle/transport/Http.java
+++ b/src/main/java/org/fieldtrestle/transport/Http.java
@@ -10,10 +10,17 @@
   /** A request as it came in; {@code path} is without the query. */
   public record Request(String method, String path, Map<String, String> query, byte[] body) {}
 
-  /** An answer; {@code retryAfterS} of 0 leaves the header out. */
-  public record Response(int status, byte[] body, int retryAfterS) {
+  /**
+   * An answer; {@code retryAfterS} of 0 leaves the header out. With {@code close} the connection
+   * ends with it, so that whoever asked comes back on another, maybe to another node.
+   */
+  public record Response(int status, byte[] body, int retryAfterS, boolean close) {
     public static final byte[] EMPTY = {};
 
+    public Response(int status, byte[] body, int retryAfterS) {
+      this(status, body, retryAfterS, false);
+    }
+
     public Response(int status, byte[] body) {
       this(status, body, 0);
     }
--- a/src/main/java/org/fieldtrestle/transport/HttpClient.java
+++ b/src/main/java/org/fieldtrestle/transport/HttpClient.java
@@ -24,7 +24,9 @@
 import java.net.InetSocketAddress;
 import java.util.ArrayDeque;
 import java.util.HashMap;
+import java.util.LinkedHashSet;
 import java.util.Map;
+import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 
@@ -37,6 +39,10 @@
 
   private final EventLoop loop;
   private final Map<String, ArrayDeque<Line>> idle = new HashMap<>();
+
+  /** All idle lines, the longest idle first: with hundreds of machines they use up all sockets. */
+  private final Set<Line> allIdle = new LinkedHashSet<>();
+
   private final int maxOpen;
   private int open;
 
@@ -58,6 +64,7 @@
     Line line = null;
     while (kept != null && line == null && !kept.isEmpty()) {
       Line candidate = kept.pollLast();
+      allIdle.remove(candidate);
       line = candidate.channel.isActive() ? candidate : null;
     }
     if (line != null) {
@@ -66,12 +73,28 @@
       return;
     }
     if (open >= maxOpen) {
-      loop.execute(() -> pending.finish(new Http.NotSent("no free socket")));
-      return;
+      if (allIdle.isEmpty()) {
+        loop.execute(() -> pending.finish(new Http.NotSent("no free socket")));
+        return;
+      }
+      Line oldest = allIdle.iterator().next();
+      forget(oldest);
+      oldest.channel.close();
     }
     connect(address, pending, timeoutMs);
   }
 
+  private void forget(Line line) {
+    allIdle.remove(line);
+    ArrayDeque<Line> kept = idle.get(line.address);
+    if (kept != null) {
+      kept.remove(line);
+      if (kept.isEmpty()) {
+        idle.remove(line.address);
+      }
+    }
+  }
+
   private void connect(String address, Pending pending, long timeoutMs) {
     open++;
     Line fresh = new Line(address);
@@ -191,6 +214,7 @@
         ArrayDeque<Line> kept = idle.computeIfAbsent(address, a -> new ArrayDeque<>());
         if (kept.size() < IDLE_KEPT) {
           kept.addLast(this);
+          allIdle.add(this);
         } else {
           ctx.close();
         }
@@ -202,13 +226,7 @@
 
     @Override
     public void channelInactive(ChannelHandlerContext ctx) {
-      ArrayDeque<Line> kept = idle.get(address);
-      if (kept != null) {
-        kept.remove(this);
-        if (kept.isEmpty()) {
-          idle.remove(address);
-        }
-      }
+      forget(this);
       if (current != null) {
         Pending lost = current;
         current = null;
--- a/src/main/java/org/fieldtrestle/transport/HttpServer.java
+++ b/src/main/java/org/fieldtrestle/transport/HttpServer.java
@@ -144,7 +144,7 @@
       if (response.retryAfterS() > 0) {
         out.headers().set(HttpHeaderNames.RETRY_AFTER, response.retryAfterS());
       }
-      if (keep) {
+      if (keep && !response.close()) {
         ctx.writeAndFlush(out);
       } else {
         out.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
