Machines that hear nothing, late copies, cut-off controllers: guards with tests of their own

The generated histories now also have copies of reports up to a minute late, machines that hear nothing, controllers without state service, peers, workers or network, a slow state service, and controllers that are back within a fraction of a second around a takeover.

Found by the tests written for it: a machine that hears nothing, once drained, was never returned, as its last command's fate stayed open; and a direct command without an answer counted for nothing when the next report lacked its start. A job of which nothing has begun after three boots gets its first task before all others (priorities come first here, so that a burst could starve it).

--- a/src/main/java/org/fieldtrestle/bookkeeping/View.java
+++ b/src/main/java/org/fieldtrestle/bookkeeping/View.java
@@ -3,11 +3,13 @@
 import com.fasterxml.jackson.databind.JsonNode;
 import java.util.ArrayList;
 import java.util.Collection;
+import java.util.Collections;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.Iterator;
 import java.util.List;
 import java.util.Map;
+import java.util.NavigableMap;
 import java.util.Set;
 import java.util.TreeMap;
 import java.util.function.Consumer;
@@ -125,9 +127,9 @@
   }
 
   /** The ranges of a job, also of one that is no longer live. */
-  public Map<Integer, Kept<Records.Range>> rangesOf(String job) {
+  public NavigableMap<Integer, Kept<Records.Range>> rangesOf(String job) {
     LiveJob live = jobs.get(job);
-    return live == null ? Map.of() : live.ranges;
+    return live == null ? Collections.emptyNavigableMap() : live.ranges;
   }
 
   public Kept<Records.Range> range(RangeKey key) {
--- a/src/main/java/org/fieldtrestle/coordination/Fleet.java
+++ b/src/main/java/org/fieldtrestle/coordination/Fleet.java
@@ -256,7 +256,7 @@
       // Charged until it is taken; it may finish what it has until then.
       return host.empty() || now > host.noticeUntil + node.reportMs(1) && silent(host, now);
     }
-    return host.empty() && host.quiet() || host.lost || silent(host, now);
+    return host.empty() && host.quiet() || host.lost || silent(host, now) || deaf(host, now);
   }
 
   /** The cloud has answered: the machine and all that was on it are gone. */
--- a/src/main/java/org/fieldtrestle/coordination/Machines.java
+++ b/src/main/java/org/fieldtrestle/coordination/Machines.java
@@ -310,8 +310,8 @@
 
   /**
    * Whether the machine hears us. Its reports prove nothing of that: where two in a row lack what
-   * their answers have started, it gets a higher token to show, and no more tasks until it does. A
-   * worker reports again only once the answer before has come or been given up.
+   * they were to start, it gets a higher token to show, and no more tasks until it does. A worker
+   * reports again only once the answer before has come or been given up.
    */
   private void listen(Host host, WorkerWire.Report report, long now) {
     boolean lacks = false;
@@ -333,7 +333,7 @@
     } else if (has) {
       host.unheard = 0;
     } else if (lacks && ++host.unheard >= 2) {
-      LOG.warn("machine {} does not hear us: starts in our answers do not appear", host.id);
+      LOG.warn("machine {} does not hear us: what it was to start does not appear", host.id);
       host.deafSince = now;
       raiseToken(host);
     }
@@ -593,6 +593,11 @@
     // Its fate is unknown: it may be executed minutes later, as long as token and session match.
     // A higher token ends that as soon as the machine has seen it.
     raiseToken(host);
+    for (Placed task : host.placed()) {
+      if (task.state() == Placed.State.STARTING && task.startSent) {
+        task.answeredSeq = host.seq; // its next report shows whether it came
+      }
+    }
   }
 
   private static void raiseToken(Host host) {
--- a/src/main/java/org/fieldtrestle/coordination/Node.java
+++ b/src/main/java/org/fieldtrestle/coordination/Node.java
@@ -58,7 +58,8 @@
         || waitWithinS(spec) < Double.MAX_VALUE;
   }
 
-  private double bootS() {
+  /** How soon a machine comes up, of the type that is the quickest. */
+  double bootS() {
     double least = Double.MAX_VALUE;
     for (CloudWire.MachineType type : types()) {
       least = Math.min(least, type.bootS());
--- a/src/main/java/org/fieldtrestle/coordination/Placed.java
+++ b/src/main/java/org/fieldtrestle/coordination/Placed.java
@@ -46,7 +46,7 @@
   /** Its start has gone out at least once, so that it may be there. */
   boolean startSent;
 
-  /** The machine's report that was answered with its start last; below 0 where none was. */
+  /** The machine's last report before its start should have come; below 0 where that is open. */
   long answeredSeq = -1;
 
   boolean stop;
--- a/src/main/java/org/fieldtrestle/coordination/Placement.java
+++ b/src/main/java/org/fieldtrestle/coordination/Placement.java
@@ -8,6 +8,7 @@
 import java.util.TreeMap;
 import org.fieldtrestle.protocol.CloudWire.MachineType;
 import org.fieldtrestle.protocol.JobSpec;
+import org.fieldtrestle.protocol.Priority;
 import org.fieldtrestle.protocol.TaskId;
 
 /**
@@ -33,6 +34,13 @@
   /** Share of its slack after which a task no longer leaves room to those whose image is there. */
   private static final double PRESSING = 0.9;
 
+  /**
+   * A job of which nothing has begun after so many boots of a machine, one after the other, gets
+   * its first task placed before all others: priorities come before scores here, so that however
+   * much it ages, a burst of a higher one could keep it from beginning at all.
+   */
+  private static final double OVERDUE_BOOTS = 3;
+
   /** What a pass decides. */
   interface Decisions {
     /** A task goes to a machine; a whole job's tasks go under one attempt. */
@@ -77,7 +85,11 @@
   }
 
   /** Some tasks of a range that have waited equally long. */
-  record Group(OwnedRange range, int offset) {
+  record Group(OwnedRange range, int offset, boolean overdue) {
+    Group(OwnedRange range, int offset) {
+      this(range, offset, false);
+    }
+
     boolean isFresh() {
       return offset < 0;
     }
@@ -203,6 +215,15 @@
         continue;
       }
       int fresh = range.fresh.cardinality();
+      if (fresh > 0 && overdue(range, now)) {
+        fresh--;
+        groups.add(
+            new Falcon.Waiting<>(
+                new Group(range, -1, true),
+                Priority.CRITICAL,
+                falcon.score(spec.estimateS(), (now - range.waitingSince) / 1000.0),
+                1));
+      }
       if (fresh > 0) {
         groups.add(
             new Falcon.Waiting<>(
@@ -226,6 +247,15 @@
     return groups;
   }
 
+  private boolean overdue(OwnedRange range, long now) {
+    return range.placed.isEmpty()
+        && range.retries.isEmpty()
+        && range.finished.isEmpty()
+        && range.record.done().isEmpty()
+        && now - range.waitingSince > node.bootS() * 1000 * OVERDUE_BOOTS
+        && node.view().rangesOf(range.key.job()).firstKey() == range.key.index();
+  }
+
   /**
    * The waiting time that a score counts. For a job that cannot be in time any more it starts anew
    * (our exception): else, on a full fleet, those that are late already make all others late too.
@@ -257,12 +287,15 @@
       Host.Room room = null;
       boolean waits = false;
       // Room only shrinks within a step: what one task of a range did not find, none finds.
-      if (range.noRoomIn != step && !pass.kept(range.spec) && shares.allows(range.spec)) {
+      if (range.noRoomIn != step
+          && (next.what().overdue() || !pass.kept(range.spec))
+          && shares.allows(range.spec)) {
         room = choose(pass, range, next.what().first());
         if (room == null) {
           range.noRoomIn = step;
         } else if (!room.host.hasImage(range.spec.image())
             && !room.host.claimedBy(range, pass.now)
+            && !next.what().overdue()
             && (withImage ? !pressing(next.what(), pass.now) : patient(pass, range))) {
           waits = true;
           room = null;
--- a/src/test/java/org/fieldtrestle/rehearsal/CloudStandIn.java
+++ b/src/test/java/org/fieldtrestle/rehearsal/CloudStandIn.java
@@ -32,6 +32,11 @@
     snapshot();
   }
 
+  /** How many machines were ever rented. */
+  int rentedEver() {
+    return count;
+  }
+
   private void snapshot() {
     ArrayNode list = Json.array();
     for (WorkerStandIn one : machines.values()) {
--- a/src/test/java/org/fieldtrestle/rehearsal/HistoriesTest.java
+++ b/src/test/java/org/fieldtrestle/rehearsal/HistoriesTest.java
@@ -58,6 +58,7 @@
     World world = scene.world;
     scene.net.late = 0.01;
     scene.net.lost = 0.01;
+    scene.net.copies = 0.05;
     scene.cloud.neverBoots = 0.1;
     List<Scene.Job> jobs = submitSome(scene, 18, 150_000);
     for (int i = 0; i < 9; i++) {
@@ -96,7 +97,7 @@
     WorkerStandIn machine =
         machines.isEmpty() ? null : machines.get((int) world.between(0, machines.size() - 1));
     String label = scene.labels().get((int) world.between(0, 2));
-    int kind = (int) world.between(0, 11);
+    int kind = (int) world.between(0, 18);
     LOG.debug(
         "{} ms: trouble {} {} {}", world.now(), kind, label, machine == null ? "" : machine.id);
     switch (kind) {
@@ -149,6 +150,50 @@
           }
         }
       }
+      case 11 -> { // loses the state service and the others, but not its workers
+        long ms = world.between(5000, 70_000);
+        scene.trouble(ms);
+        scene.lose(label, ms, "state", "peers");
+      }
+      case 12 -> {
+        long ms = world.between(5000, 70_000);
+        scene.trouble(ms);
+        scene.lose(label, ms, "state", "peers", "workers", "cloud", "users");
+      }
+      case 13 -> {
+        long ms = world.between(5000, 70_000);
+        scene.trouble(ms);
+        scene.lose(label, ms, "workers");
+      }
+      case 14 -> {
+        for (String one : scene.labels()) {
+          scene.lose(one, world.between(5000, 40_000), "peers");
+        }
+      }
+      case 15 -> {
+        scene.trouble(30_000);
+        scene.net.slow(Scene.STATE, world.between(100, 1000), 30_000);
+      }
+      case 16 -> {
+        if (machine != null) {
+          machine.deafen(world.between(5000, 70_000));
+        }
+      }
+      case 17 -> { // one is gone for long, and who takes over is back again and again at once
+        scene.trouble(70_000);
+        scene.kill(label, 60_000);
+        for (String other : scene.labels()) {
+          for (int i = 0; i < 3; i++) {
+            world.after(
+                world.between(24_000, 34_000),
+                () -> {
+                  if (!other.equals(label)) {
+                    scene.kill(other, world.between(50, 400));
+                  }
+                });
+          }
+        }
+      }
       default -> {
         if (machine != null) {
           machine.failsTasks = true;
--- a/src/test/java/org/fieldtrestle/rehearsal/Net.java
+++ b/src/test/java/org/fieldtrestle/rehearsal/Net.java
@@ -2,6 +2,7 @@
 
 import java.util.HashMap;
 import java.util.LinkedHashMap;
+import java.util.List;
 import java.util.Map;
 import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
@@ -13,6 +14,8 @@
   private final Map<String, Http.Handler> servers = new HashMap<>();
   private final Map<String, String> zones = new HashMap<>();
   private final Map<String, Long> cutUntil = new HashMap<>();
+  private final Map<String, Long> slowBy = new HashMap<>();
+  private final Map<String, Long> slowUntil = new HashMap<>();
 
   /** Share of requests that arrive only long after their sender has given up. */
   double late;
@@ -20,6 +23,15 @@
   /** Share of answers that are lost. */
   double lost;
 
+  /** Share of workers' reports of which copies come again, long after, to any controller. */
+  double copies;
+
+  /** How many copies come of each of these. */
+  int copiesEach = 1;
+
+  /** Where copies of reports go. */
+  List<String> controllers = List.of();
+
   Net(World world) {
     this.world = world;
   }
@@ -38,6 +50,16 @@
     cutUntil.put(other + "|" + zone, world.now() + forMs);
   }
 
+  /** Requests to an address take this much longer for a while. */
+  void slow(String address, long byMs, long forMs) {
+    slowBy.put(address, byMs);
+    slowUntil.put(address, world.now() + forMs);
+  }
+
+  private long slowness(String address) {
+    return world.now() < slowUntil.getOrDefault(address, 0L) ? slowBy.get(address) : 0;
+  }
+
   private long cutFor(String fromZone, String address) {
     String to = zones.getOrDefault(address, "");
     return Math.max(0, cutUntil.getOrDefault(fromZone + "|" + to, 0L) - world.now());
@@ -77,6 +99,13 @@
       return;
     }
     world.after(timeoutMs, alive, () -> once.accept(new Http.Unknown("timeout")));
+    if (path.equals("/hello") && world.chance(copies)) {
+      for (int i = 0; i < copiesEach; i++) {
+        String to = controllers.get((int) world.between(0, controllers.size() - 1));
+        world.after(
+            world.between(1000, 60_000), () -> deliver(to, method, path, body, response -> {}));
+      }
+    }
     if (world.chance(late)) {
       world.after(
           world.between(timeoutMs, timeoutMs * 10),
@@ -85,7 +114,7 @@
     }
     boolean answerLost = world.chance(lost);
     world.after(
-        world.between(1, 6),
+        world.between(1, 6) + slowness(address),
         () ->
             deliver(
                 address,
--- a/src/test/java/org/fieldtrestle/rehearsal/Rules.java
+++ b/src/test/java/org/fieldtrestle/rehearsal/Rules.java
@@ -20,6 +20,7 @@
   private final Map<String, Long> finalAt = new HashMap<>();
   private final Map<String, Long> toldCancelled = new HashMap<>();
   private final Set<String> accepted = new HashSet<>();
+  private final Set<String> begun = new HashSet<>();
   private final Map<String, Long> failingSince = new HashMap<>();
   private final Map<String, Integer> startsOn = new HashMap<>();
   int starts;
@@ -48,8 +49,14 @@
     return startsOn.getOrDefault(machine, 0);
   }
 
+  /** Whether any task of a job was ever started. */
+  boolean begun(String job) {
+    return begun.contains(job);
+  }
+
   void started(String task, WorkerStandIn machine) {
     starts++;
+    begun.add(jobOf(task));
     startsOn.merge(machine.id, 1, Integer::sum);
     trace(task + " starts on " + machine.id);
     Set<String> places = on.computeIfAbsent(task, t -> new HashSet<>());
@@ -125,8 +132,9 @@
     }
     if (status != 200) {
       if (accepted.contains(job)) {
-        long since = failingSince.computeIfAbsent(job, j -> world.now());
-        if (world.now() - since > 90_000 && scene.calmFor(60_000)) {
+        long since =
+            Math.max(failingSince.computeIfAbsent(job, j -> world.now()), scene.calmSince());
+        if (world.now() - since > 75_000) {
           breaks("forgotten", job + " cannot be asked about for " + (world.now() - since));
         }
       }
--- a/src/test/java/org/fieldtrestle/rehearsal/Scene.java
+++ b/src/test/java/org/fieldtrestle/rehearsal/Scene.java
@@ -51,20 +51,32 @@
   final Map<String, Job> jobs = new HashMap<>();
   final Set<String> cancelledByUser = new HashSet<>();
   final Set<String> results = new HashSet<>();
-  final long reportMs = 2500;
-  final long leaseMs = 16_000;
-  final long cancelMs = 46_000;
+  final long reportMs;
+  final long leaseMs;
+  final long cancelMs;
   private final Map<String, Process> processes = new HashMap<>();
   private final Map<String, String> zoneOf = new HashMap<>();
   private final Map<String, Long> isolatedUntil = new HashMap<>();
+
+  /** Until when what a controller says and hears is lost, by whom it is said to or heard from. */
+  private final Map<String, Long> lostUntil = new HashMap<>();
+
   private long calmSince;
 
   Scene(RandomGenerator random, int capacity) {
+    this(random, capacity, 2500, 16_000, 46_000);
+  }
+
+  Scene(RandomGenerator random, int capacity, long reportMs, long leaseMs, long cancelMs) {
+    this.reportMs = reportMs;
+    this.leaseMs = leaseMs;
+    this.cancelMs = cancelMs;
     world = new World(random);
     net = new Net(world);
     state = new StateStandIn(world);
     rules = new Rules(world, this);
     cloud = new CloudStandIn(world, this, capacity);
+    net.controllers = labels().stream().map(this::address).toList();
     net.serve(STATE, "regional", state);
     net.serve(CLOUD, "regional", cloud);
     labels().forEach(this::start);
@@ -102,7 +114,7 @@
     return team.equals("limited") ? 40 : Double.MAX_VALUE;
   }
 
-  static Settings settings(String label) {
+  private Settings settings(String label) {
     List<Settings.Peer> peers = new ArrayList<>();
     for (String other : List.of("trestle-0", "trestle-1", "trestle-2")) {
       if (!other.equals(label)) {
@@ -121,7 +133,7 @@
         100,
         List.of(new Settings.Team("limited", 16, 40, 0, 0), new Settings.Team("open", 16, 0, 0, 0)),
         List.of(new Settings.Objective("wait", "rush", 0.9, 1, 5)),
-        new Settings.Workers(2.5, 16, 46),
+        new Settings.Workers(reportMs / 1000.0, leaseMs / 1000.0, cancelMs / 1000.0),
         new Settings.State(200, 40, 8, 32),
         new Settings.Cloud(3, 6),
         new Settings.Limits(0.2, 263, 1800));
@@ -140,6 +152,13 @@
                 2, () -> process.alive, () -> done.accept(new Http.Answer(503, new byte[0])));
             return;
           }
+          String to = address.equals(STATE) ? "state" : address.equals(CLOUD) ? "cloud" : "workers";
+          if (lost(label, to)) {
+            Http.Outcome none =
+                world.chance(0.5) ? new Http.NotSent("timeout") : new Http.Unknown("timeout");
+            world.after(timeoutMs, () -> process.alive, () -> done.accept(none));
+            return;
+          }
           net.call(
               zone(label),
               () -> process.alive,
@@ -161,11 +180,34 @@
             reactor,
             world.random,
             caller,
-            (address, frame) -> peerFrame(address, frame));
-    net.serve(address(label), zone(label), process.controller);
+            (address, frame) -> {
+              if (!lost(label, "peers")) {
+                peerFrame(address, frame);
+              }
+            });
+    net.serve(
+        address(label),
+        zone(label),
+        (request, reply) -> {
+          boolean report = request.path().equals("/hello");
+          if (!lost(label, report ? "workers" : "users")) {
+            process.controller.handle(request, reply);
+          }
+        });
     reactor.execute(process.controller::start);
   }
 
+  /** For a while a controller and these others do not reach each other. */
+  void lose(String label, long ms, String... others) {
+    for (String other : others) {
+      lostUntil.put(label + " " + other, world.now() + ms);
+    }
+  }
+
+  private boolean lost(String label, String other) {
+    return world.now() < lostUntil.getOrDefault(label + " " + other, 0L);
+  }
+
   private void peerFrame(String address, ByteBuffer frame) {
     ByteBuffer body = frame.duplicate();
     body.position(4);
@@ -173,6 +215,9 @@
     body.get(bytes);
     String label = "trestle-" + address.charAt(address.indexOf(':') - 1);
     Process to = processes.get(label);
+    if (lost(label, "peers")) {
+      return;
+    }
     int copies = world.chance(0.05) ? 2 : 1; // repeated and late frames happen
     for (int i = 0; i < copies; i++) {
       world.after(
@@ -201,13 +246,27 @@
     return Math.max(0, isolatedUntil.getOrDefault(label, 0L) - world.now());
   }
 
+  /** What a controller answers to the load balancer. */
+  boolean ready(String label) {
+    int[] status = {0};
+    if (processes.get(label).alive && !lost(label, "users")) {
+      processes
+          .get(label)
+          .controller
+          .handle(
+              new Http.Request("GET", "/ready", Map.of(), new byte[0]),
+              response -> status[0] = response.status());
+    }
+    return status[0] == 200;
+  }
+
   /** Notes that something is being done to the service. */
   void trouble(long forMs) {
     calmSince = Math.max(calmSince, world.now() + forMs);
   }
 
-  boolean calmFor(long ms) {
-    return world.now() - calmSince > ms;
+  long calmSince() {
+    return calmSince;
   }
 
   // ---- users
@@ -258,7 +317,9 @@
       byte[] body,
       long timeoutMs,
       java.util.function.Consumer<Http.Answer> done) {
-    String label = labels().get((int) world.between(0, 2));
+    List<String> ready = labels().stream().filter(this::ready).toList();
+    List<String> from = ready.isEmpty() ? labels() : ready;
+    String label = from.get((int) world.between(0, from.size() - 1));
     net.call(
         "regional",
         () -> true,
--- a/src/test/java/org/fieldtrestle/rehearsal/StateStandIn.java
+++ b/src/test/java/org/fieldtrestle/rehearsal/StateStandIn.java
@@ -58,6 +58,20 @@
     wake();
   }
 
+  /** The machines that any master counts as its own. */
+  List<String> rosters() {
+    List<String> machines = new ArrayList<>();
+    keys.forEach(
+        (key, kept) -> {
+          if (key.startsWith("ft/live/roster/")) {
+            for (JsonNode group : kept.value().path("groups")) {
+              group.path("ids").forEach(id -> machines.add(id.asText()));
+            }
+          }
+        });
+    return machines;
+  }
+
   private boolean down() {
     return world.now() < outageUntil;
   }
--- /dev/null
+++ b/src/test/java/org/fieldtrestle/rehearsal/TroublesTest.java
@@ -0,0 +1,220 @@
+package org.fieldtrestle.rehearsal;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.SplittableRandom;
+import org.junit.jupiter.api.Test;
+
+/** The troubles that look like something else, each alone; the histories mix them. */
+class TroublesTest {
+  private Scene scene(int capacity) {
+    return new Scene(new SplittableRandom(23), capacity);
+  }
+
+  private static void assertQuiet(Scene scene) {
+    assertEquals(List.of(), scene.rules.broken);
+  }
+
+  private static void submit(Scene scene, String id, int tasks, long runMs) {
+    scene.submit(
+        id,
+        job -> {
+          job.tasks = tasks;
+          job.runMs = runMs;
+        });
+  }
+
+  private static void assertDone(Scene scene, String... ids) {
+    for (String id : ids) {
+      assertEquals("done", scene.rules.lastOf(id), id);
+    }
+  }
+
+  @Test
+  void aMachineThatHearsNothingIsReturned() {
+    // Reports so far apart that going from node to node in vain does not yet count as silence.
+    Scene scene = new Scene(new SplittableRandom(23), 12, 6000, 34_000, 64_000);
+    submit(scene, "job-1", 600, 20_000);
+    scene.world.runUntil(60_000);
+    String deaf = scene.cloud.machines.firstKey();
+    scene.cloud.machines.get(deaf).deafen(600_000);
+    scene.world.runUntil(165_000);
+    assertFalse(scene.cloud.machines.containsKey(deaf), "its reports prove nothing");
+    scene.world.runUntil(400_000);
+    assertQuiet(scene);
+    assertDone(scene, "job-1");
+  }
+
+  @Test
+  void aCancellationReachesAlsoWhatADeafMachineRuns() {
+    Scene scene = scene(12);
+    submit(scene, "job-1", 8, 300_000);
+    scene.world.runUntil(30_000);
+    assertTrue(scene.rules.starts > 0);
+    scene.cloud.machines.values().forEach(machine -> machine.deafen(120_000));
+    scene.cancel(scene.jobs.get("job-1"));
+    scene.world.runUntil(200_000);
+    assertQuiet(scene);
+    assertEquals("cancelled", scene.rules.lastOf("job-1"));
+  }
+
+  @Test
+  void copiesOfReportsKeepNoDeadMachineAlive() {
+    Scene scene = scene(12);
+    submit(scene, "job-1", 48, 25_000);
+    scene.world.runUntil(25_000);
+    scene.net.copies = 1;
+    scene.net.copiesEach = 30;
+    scene.world.runUntil(30_000);
+    // Its last reports come again and again, well beyond its lease, while it says nothing itself.
+    String hanging = scene.cloud.machines.firstKey();
+    scene.cloud.machines.get(hanging).hang(600_000);
+    // Its return is not to be had either: only its lease tells when its tasks are gone.
+    scene.labels().forEach(label -> scene.lose(label, 600_000, "cloud"));
+    scene.world.runUntil(100_000);
+    assertQuiet(scene);
+    assertDone(scene, "job-1");
+  }
+
+  @Test
+  void copiesOfReportsBringNoReturnedMachineBack() {
+    Scene scene = scene(12);
+    scene.net.copies = 0.5;
+    scene.net.copiesEach = 10;
+    submit(scene, "job-1", 16, 4000);
+    // Controllers that have forgotten which machines were returned.
+    scene.world.after(70_000, () -> scene.labels().forEach(label -> scene.kill(label, 200)));
+    Map<String, Integer> ghosts = new HashMap<>();
+    for (long at = 76_000; at < 130_000; at += 1000) {
+      scene.world.runUntil(at);
+      Set<String> counted = new HashSet<>(scene.state.rosters());
+      counted.removeAll(scene.cloud.machines.keySet());
+      ghosts.keySet().retainAll(counted);
+      for (String gone : counted) { // a return may be known a moment before it is written
+        assertTrue(ghosts.merge(gone, 1, Integer::sum) < 6, gone + " is back at " + at);
+      }
+    }
+    assertQuiet(scene);
+    assertDone(scene, "job-1");
+  }
+
+  @Test
+  void aControllerLeftWithItsWorkersAloneStopsInTimeAndComesBack() {
+    Scene scene = scene(12);
+    for (int i = 0; i < 4; i++) {
+      submit(scene, "job-" + i, 8, i == 1 ? 200_000 : 15_000);
+    }
+    scene.world.runUntil(25_000);
+    for (String label : scene.labels().subList(0, 1)) {
+      scene.lose(label, 80_000, "state", "peers");
+    }
+    scene.trouble(80_000);
+    scene.world.after(3000, () -> scene.cancel(scene.jobs.get("job-1")));
+    scene.world.runUntil(60_000);
+    submit(scene, "job-9", 10, 10_000);
+    scene.world.runUntil(250_000);
+    assertQuiet(scene);
+    assertEquals("cancelled", scene.rules.lastOf("job-1"));
+    assertDone(scene, "job-0", "job-2", "job-3", "job-9");
+  }
+
+  @Test
+  void aNodeThatOnlyTheStateServiceRefusesIsNotReadyMeanwhile() {
+    Scene scene = scene(12);
+    scene.world.runUntil(10_000);
+    scene.isolate("trestle-1", 60_000);
+    scene.world.runUntil(16_000);
+    assertFalse(scene.ready("trestle-1"), "users are better off elsewhere");
+    assertTrue(scene.ready("trestle-0") && scene.ready("trestle-2"));
+    scene.world.runUntil(76_000);
+    assertTrue(scene.ready("trestle-1"), "and it is back by itself");
+    scene.state.outage(20_000);
+    scene.world.runUntil(90_000);
+    for (String label : scene.labels()) {
+      assertTrue(scene.ready(label), "leaving helps nobody where nobody is served: " + label);
+    }
+  }
+
+  @Test
+  void everyJobCanBeAskedAboutAfterAnOutageThatOutlastsWatches() {
+    Scene scene = scene(12);
+    submit(scene, "job-1", 8, 120_000);
+    submit(scene, "job-2", 4, 2000);
+    scene.world.runUntil(30_000);
+    scene.state.outage(40_000);
+    scene.world.after(40_001, scene.state::compact);
+    scene.trouble(40_000);
+    // One goes on, and has to find out that its watch is too old.
+    for (String label : scene.labels().subList(0, 2)) {
+      scene.world.after(10_000, () -> scene.kill(label, 300));
+    }
+    scene.world.runUntil(300_000);
+    assertQuiet(scene);
+    assertDone(scene, "job-1", "job-2");
+  }
+
+  @Test
+  void whoTakesOverMayBeBackWithinAFractionOfASecond() {
+    Scene scene = scene(12);
+    for (int i = 0; i < 5; i++) {
+      submit(scene, "job-" + i, 10, 20_000);
+    }
+    scene.world.runUntil(25_000);
+    scene.trouble(60_000);
+    scene.kill("trestle-0", 55_000);
+    for (long at = 24_000; at < 34_000; at += 700) {
+      scene.world.after(at, () -> scene.kill("trestle-1", 80));
+      scene.world.after(at + 300, () -> scene.kill("trestle-2", 250));
+    }
+    scene.world.runUntil(300_000);
+    assertQuiet(scene);
+    assertDone(scene, "job-0", "job-1", "job-2", "job-3", "job-4");
+  }
+
+  @Test
+  void theLargestBeginsWithinFourMinutesUnderABurstOfTheUrgent() {
+    Scene scene = scene(4);
+    submit(scene, "job-0", 10, 2500);
+    scene.world.runUntil(40_000);
+    // More urgent work than the whole fleet gets through, for longer than four minutes.
+    for (int i = 1; i < 160; i++) {
+      int number = i;
+      scene.world.after(
+          i * 2000L,
+          () ->
+              scene.submit(
+                  "job-" + number,
+                  job -> {
+                    job.tasks = 24;
+                    job.cpus = 4;
+                    job.runMs = 2900;
+                  }));
+    }
+    scene.world.after(20_000, () -> submit(scene, "job-900", 60, 20_000));
+    scene.world.runUntil(60_000 + 240_000);
+    assertQuiet(scene);
+    assertTrue(scene.rules.begun("job-900"), "a burst does not keep it from beginning");
+  }
+
+  @Test
+  void aRestartMakesNoMachineACrawler() {
+    Scene scene = scene(12);
+    for (int i = 0; i < 3; i++) {
+      submit(scene, "job-" + i, 120, 20_000);
+    }
+    scene.world.runUntil(50_000);
+    int before = scene.cloud.rentedEver();
+    scene.labels().forEach(label -> scene.kill(label, 500));
+    // Found tasks end soon after; what is placed next takes its whole time.
+    scene.world.runUntil(100_000);
+    assertQuiet(scene);
+    assertEquals(before, scene.cloud.rentedEver(), "no machine had to be replaced");
+  }
+}
--- a/src/test/java/org/fieldtrestle/rehearsal/WorkerStandIn.java
+++ b/src/test/java/org/fieldtrestle/rehearsal/WorkerStandIn.java
@@ -37,6 +37,7 @@
   private final Set<String> images = new HashSet<>();
   private boolean gone;
   private long hungUntil;
+  private long deafUntil;
   private long session = 1;
   private long seq;
   private long token;
@@ -94,6 +95,15 @@
     hungUntil = world.now() + ms;
   }
 
+  /** Its reports still go out, but nothing comes in. */
+  void deafen(long ms) {
+    deafUntil = world.now() + ms;
+  }
+
+  private boolean deaf() {
+    return world.now() < deafUntil;
+  }
+
   private boolean hung() {
     return world.now() < hungUntil;
   }
@@ -184,7 +194,16 @@
         "/hello",
         report(),
         4000,
-        outcome -> resume(() -> answered(outcome, sent, inSession)));
+        outcome -> {
+          if (deaf()) {
+            world.after(
+                sent + 4000 - world.now(),
+                this::alive,
+                () -> resume(() -> answered(new Http.Unknown("timeout"), sent, inSession)));
+          } else {
+            resume(() -> answered(outcome, sent, inSession));
+          }
+        });
   }
 
   /** Whatever reaches a hanging machine is taken in when it resumes. */
@@ -264,6 +283,9 @@
 
   @Override
   public void handle(Http.Request request, Consumer<Http.Response> reply) {
+    if (deaf()) {
+      return;
+    }
     if (hung()) {
       world.after(hungUntil - world.now() + 1, this::alive, () -> handle(request, reply));
       return;
