--- a/src/main/java/org/fieldtrestle/Main.java
+++ b/src/main/java/org/fieldtrestle/Main.java
@@ -85,6 +85,8 @@
       System.err.println("fieldtrestle: " + e.getMessage());
       return 2;
     }
+    double heapMb = Runtime.getRuntime().maxMemory() / 1024.0 / 1024.0;
+    settings.warnings(heapMb).forEach(line -> System.err.println("fieldtrestle: warning: " + line));
     if (check) {
       System.out.println("settings of " + settings.label() + " are in order");
       return 0;
--- a/src/main/java/org/fieldtrestle/coordination/Gateway.java
+++ b/src/main/java/org/fieldtrestle/coordination/Gateway.java
@@ -1,5 +1,6 @@
 package org.fieldtrestle.coordination;
 
+import com.fasterxml.jackson.databind.JsonNode;
 import com.github.benmanes.caffeine.cache.Cache;
 import com.github.benmanes.caffeine.cache.Caffeine;
 import java.util.ArrayList;
@@ -222,12 +223,12 @@
               part.master(), epochs.get(part.master()), part.from(), part.to(), part.caps()));
     }
     // One write for the job and all its ranges: each gets a record of its own once it differs.
-    List<StateWire.Change> changes =
-        List.of(
-            new StateWire.Put(
-                Records.job(spec.id()),
-                Records.write(new Records.Job(spec, reactor.wall(), zone, given)),
-                0));
+    JsonNode value = Records.write(new Records.Job(spec, reactor.wall(), zone, given));
+    if (Json.bytes(value).length > node.settings().state().valueKb() * 1024) {
+      reply.accept(refuse(400, "larger than what can be kept of a job"));
+      return;
+    }
+    List<StateWire.Change> changes = List.of(new StateWire.Put(Records.job(spec.id()), value, 0));
     List<Split.Part> taken = parts;
     node.store()
         .commit(
--- a/src/main/java/org/fieldtrestle/coordination/Master.java
+++ b/src/main/java/org/fieldtrestle/coordination/Master.java
@@ -206,6 +206,9 @@
     host.idleSince = now;
     machines.newsFor(host);
     MachineType type = node.type(host.type);
+    if (!host.hasImage(range.spec.image())) {
+      node.stats().fetches++;
+    }
     host.usesImage(range.spec.image(), range.spec.imageGb(), type.cacheGb());
     node.stats().placed++;
     Stats.record(node.stats().startWaitMs, now - since);
@@ -404,7 +407,8 @@
     }
     LOG.info(
         "master {}: {} machines ({} ordinary, {} booting), {} of {} CPUs taken, {} of them not"
-            + " running yet, {} tasks waiting, {} ranges; passes take {} ms at p95",
+            + " running yet, {} tasks waiting, {} ranges; {} of {} tasks placed began a fetch;"
+            + " passes take {} ms at p95",
         name,
         machines.count(),
         ordinary,
@@ -414,6 +418,8 @@
         fetching,
         waiting,
         ranges.count(),
+        node.stats().fetches,
+        node.stats().placed,
         node.stats().passMs.getValueAtPercentile(95));
   }
 
--- a/src/main/java/org/fieldtrestle/coordination/Stats.java
+++ b/src/main/java/org/fieldtrestle/coordination/Stats.java
@@ -11,6 +11,10 @@
   public final Histogram startWaitMs = new Histogram(MAX_MS, 2);
   public final Histogram passMs = new Histogram(MAX_MS, 2);
   public long placed;
+
+  /** Of these, for how many the machine had to fetch an image first. */
+  public long fetches;
+
   public long evicted;
   public long lost;
   public long rented;
--- a/src/main/java/org/fieldtrestle/coordination/StatsPage.java
+++ b/src/main/java/org/fieldtrestle/coordination/StatsPage.java
@@ -33,6 +33,7 @@
     }
     ObjectNode counts = page.putObject("counts");
     counts.put("placed", stats.placed);
+    counts.put("fetches", stats.fetches);
     counts.put("evicted", stats.evicted);
     counts.put("lost", stats.lost);
     counts.put("rented", stats.rented);
--- a/src/main/java/org/fieldtrestle/protocol/Settings.java
+++ b/src/main/java/org/fieldtrestle/protocol/Settings.java
@@ -1,5 +1,6 @@
 package org.fieldtrestle.protocol;
 
+import java.util.ArrayList;
 import java.util.List;
 
 /** What a controller is told by the platform's file, in this project's terms. */
@@ -69,6 +70,42 @@
     return null;
   }
 
+  /** What is short of what a cluster needs, though nothing of it is refused; a line each. */
+  public List<String> warnings(double heapMb) {
+    List<String> all = new ArrayList<>();
+    if (share(state.writeRps()) < LEAST_WRITES) {
+      all.add(
+          "cluster.state.write_rps: leaves each controller under "
+              + LEAST_WRITES
+              + " changes a second; jobs will be accepted and finished slowly");
+    }
+    if (share(state.rps()) < LEAST_REQUESTS) {
+      all.add(
+          "cluster.state.rps: leaves each controller under "
+              + LEAST_REQUESTS
+              + " requests a second; answers will be late");
+    }
+    if (limits.memoryMb() < heapMb + BESIDE_HEAP_MB) {
+      all.add(
+          "cluster.machine_limits.mem_mb: the JVM's heap of "
+              + Math.round(heapMb)
+              + " MB and what it needs beside that do not fit");
+    }
+    if (workers.leaseS() < 3 * workers.reportS()) {
+      all.add("cluster.workers.lease_s: under three reports; a lost one or two end a lease");
+    }
+    return all;
+  }
+
+  /** A job takes three changes or more, a machine's coming and going shares one with others. */
+  private static final int LEAST_WRITES = 3;
+
+  /** A quarter goes to following changes and a quarter to what users ask. */
+  private static final int LEAST_REQUESTS = 10;
+
+  /** Code, threads, buffers. */
+  private static final int BESIDE_HEAP_MB = 60;
+
   /** A setting that cannot be used: which field, and why. */
   public static final class Invalid extends Exception {
     private static final long serialVersionUID = 1;
--- a/src/test/java/org/fieldtrestle/protocol/SettingsFileTest.java
+++ b/src/test/java/org/fieldtrestle/protocol/SettingsFileTest.java
@@ -4,6 +4,7 @@
 import static org.junit.jupiter.api.Assertions.assertThrows;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import java.util.List;
 import org.junit.jupiter.api.Test;
 
 class SettingsFileTest {
@@ -85,4 +86,20 @@
     refused("[cluster.cloud]", "[cluster.sky]", "cluster.cloud");
     refused("label = \"n-0\"", "label = ", "file");
   }
+
+  private static void warned(String from, String to, String field) throws Settings.Invalid {
+    assertTrue(GOOD.contains(from), from);
+    List<String> warnings = SettingsFile.parse(GOOD.replace(from, to)).warnings(80);
+    assertEquals(1, warnings.size(), warnings.toString());
+    assertTrue(warnings.get(0).startsWith(field + ": "), warnings.get(0));
+  }
+
+  @Test
+  void figuresThatAreTooSmallAreServedWithAWarning() throws Settings.Invalid {
+    assertEquals(List.of(), SettingsFile.parse(GOOD).warnings(80));
+    warned("write_rps = 40.0", "write_rps = 4.0", "cluster.state.write_rps");
+    warned("\nrps = 200.0", "\nrps = 12.0", "cluster.state.rps");
+    warned("mem_mb = 263.0", "mem_mb = 100.0", "cluster.machine_limits.mem_mb");
+    warned("report_s = 2.5", "report_s = 6.0", "cluster.workers.lease_s");
+  }
 }
--- a/src/test/java/org/fieldtrestle/protocol/WiresTest.java
+++ b/src/test/java/org/fieldtrestle/protocol/WiresTest.java
@@ -137,6 +137,16 @@
     }
   }
 
+  @Test
+  void aPulseIsReadAsItWasSent() throws PeerWire.BadFrame {
+    for (boolean served : new boolean[] {true, false}) {
+      PeerWire.Pulse pulse = new PeerWire.Pulse("trestle-2", served);
+      ByteBuffer frame = PeerWire.encode(pulse);
+      assertEquals(frame.remaining() - 4, frame.getInt());
+      assertEquals(pulse, PeerWire.decode(frame));
+    }
+  }
+
   @Property(tries = 200, seed = "43")
   void reportsAreReadWithAllTheirTasks(
       @ForAll @LongRange(min = 0, max = 1L << 60) long token,
--- a/src/test/java/org/fieldtrestle/rehearsal/Scene.java
+++ b/src/test/java/org/fieldtrestle/rehearsal/Scene.java
@@ -246,6 +246,19 @@
     return Math.max(0, isolatedUntil.getOrDefault(label, 0L) - world.now());
   }
 
+  /** What one controller says of a job within two seconds; 0 where that is nothing. */
+  int ask(String label, String id) {
+    int[] status = {0};
+    processes
+        .get(label)
+        .controller
+        .handle(
+            new Http.Request("GET", "/v2/runs/" + id, Map.of(), new byte[0]),
+            response -> status[0] = response.status());
+    world.runUntil(world.now() + 2000);
+    return status[0];
+  }
+
   /** What a controller answers to the load balancer. */
   boolean ready(String label) {
     int[] status = {0};
