--- a/src/main/java/org/fieldtrestle/coordination/Eviction.java
+++ b/src/main/java/org/fieldtrestle/coordination/Eviction.java
@@ -141,6 +141,7 @@
   private boolean young(Host host, long now) {
     for (Placed task : host.placed()) {
       if (task.live()
+          && !task.spared
           && task.range != null
           && task.range.spec != null
           && (now - task.placedAt) / 1000.0
@@ -183,6 +184,7 @@
       if (task.live()
           && task.range != null
           && task.range.spec != null
+          && !task.spared
           && !task.range.spec.whole()) { // gangs and services are spared
         JobSpec other = task.range.spec;
         running.add(
--- a/src/main/java/org/fieldtrestle/coordination/Placed.java
+++ b/src/main/java/org/fieldtrestle/coordination/Placed.java
@@ -59,6 +59,12 @@
   final long placedAt;
   long runningSince = -1;
 
+  /**
+   * The first of a job that had waited too long to begin: a burst of a higher priority would else
+   * evict it as soon as it was placed, since it has run so little.
+   */
+  boolean spared;
+
   /** Its beginning was not seen: it was there when this epoch found it. */
   boolean found;
 
--- a/src/main/java/org/fieldtrestle/coordination/Placement.java
+++ b/src/main/java/org/fieldtrestle/coordination/Placement.java
@@ -306,7 +306,9 @@
         continue;
       }
       slot.takeOne();
-      decisions.place(range, next.what().first(), room.host, decisions.nextAttempt());
+      int offset = next.what().first();
+      decisions.place(range, offset, room.host, decisions.nextAttempt());
+      range.placed.get(offset).spared = next.what().overdue();
       pass.take(room, range.spec);
     }
     return stuck;
