Reverted: victims looked for four times as often; a returned machine is not returned again

Also, until its record is gone a returned machine was given back again with every tick, which costs calls to the cloud.

--- a/src/main/java/org/fieldtrestle/coordination/Eviction.java
+++ b/src/main/java/org/fieldtrestle/coordination/Eviction.java
@@ -43,7 +43,7 @@
   private record Line(List<Falcon.Waiting<Group>> queue, List<Falcon.Waiting<Group>> ready) {}
 
   void evict(List<Falcon.Waiting<Group>> stuck, long now) {
-    if (stuck.isEmpty() || now - last < node.reportMs(0.05)) {
+    if (stuck.isEmpty() || now - last < node.reportMs(0.2)) {
       return;
     }
     last = now;
--- a/src/main/java/org/fieldtrestle/coordination/Fleet.java
+++ b/src/main/java/org/fieldtrestle/coordination/Fleet.java
@@ -231,6 +231,7 @@
     List<String> names = new ArrayList<>();
     for (Host host : master.machines().all()) {
       if (names.size() < CloudWire.MAX_RETURN
+          && !host.returned
           && (host.returning || host.draining && mayGo(host, now))) {
         host.returning = true;
         names.add(host.id);
@@ -266,6 +267,7 @@
       return;
     }
     node.stats().returned++;
+    host.returned = true;
     host.lost = true;
     master.machines().loseTasks(host, "returned (" + host.drainReason + ")");
     master.roster().remove(id);
--- a/src/main/java/org/fieldtrestle/coordination/Host.java
+++ b/src/main/java/org/fieldtrestle/coordination/Host.java
@@ -59,6 +59,10 @@
   boolean closing;
 
   boolean returning;
+
+  /** The cloud has taken it back; only its record still goes. */
+  boolean returned;
+
   String drainReason = "";
   long idleSince;
   long quarantineUntil;
