Read again: overdue jobs evict by their own priority; a counter that never counted is gone

Two edits to Placement.fill had not applied, unnoticed: the CPUs that a pass found lacking were never counted, and a job that had waited too long, once it found no room, went on to evict as if it were critical, against what docs/design.md says.

The second is mended, with a test. Also: the list of those that may evict without the queue that nobody read, one loop for unresolved machines, one condition instead of two nested. But for overdue jobs no behaviour changes.

--- a/src/main/java/org/fieldtrestle/coordination/Eviction.java
+++ b/src/main/java/org/fieldtrestle/coordination/Eviction.java
@@ -39,9 +39,6 @@
     this.decisions = decisions;
   }
 
-  /** Those that wait for one kind of machine, and of them those that may evict. */
-  private record Line(List<Falcon.Waiting<Group>> queue, List<Falcon.Waiting<Group>> ready) {}
-
   void evict(List<Falcon.Waiting<Group>> stuck, long now) {
     if (stuck.isEmpty() || now - last < node.reportMs(0.2)) {
       return;
@@ -66,20 +63,20 @@
         }
       }
     }
-    Map<String, Line> lines = new HashMap<>();
+    Map<String, List<Falcon.Waiting<Group>>> evictors = new HashMap<>();
     for (Host host : machines.all()) {
       MachineType type = node.type(host.type);
       if (type == null || !machines.usable(host, now) || stopping(host) || !young(host, now)) {
         continue;
       }
-      Line line =
+      List<Falcon.Waiting<Group>> able =
           faults.avoidsAny(host)
-              ? line(stuck, host, type, now)
-              : lines.computeIfAbsent(
+              ? able(stuck, host, type, now)
+              : evictors.computeIfAbsent(
                   host.type + "/" + host.zone + "/" + host.spot,
-                  kind -> line(stuck, host, type, now));
+                  kind -> able(stuck, host, type, now));
       List<Falcon.Waiting<Group>> ready = new ArrayList<>();
-      for (Falcon.Waiting<Group> one : line.ready()) {
+      for (Falcon.Waiting<Group> one : able) {
         if (unmet.get(one) > 0
             && Placement.allowed(faults, one.what().range(), one.what().first(), host)) {
           ready.add(one);
@@ -116,8 +113,12 @@
     return false;
   }
 
-  /** Falcon's queue of a machine: all that waits and may run there; the same for all of a kind. */
-  private Line line(List<Falcon.Waiting<Group>> stuck, Host host, MachineType type, long now) {
+  /**
+   * Those that may evict on a machine by condition 3, over Falcon's queue of it: all that waits and
+   * may run there, which is the same for all machines of a kind.
+   */
+  private List<Falcon.Waiting<Group>> able(
+      List<Falcon.Waiting<Group>> stuck, Host host, MachineType type, long now) {
     List<Falcon.Waiting<Group>> queue = new ArrayList<>();
     for (Falcon.Waiting<Group> one : stuck) {
       OwnedRange range = one.what().range();
@@ -134,7 +135,7 @@
         ready.add(one);
       }
     }
-    return new Line(queue, ready);
+    return ready;
   }
 
   /** Whether anything on the machine has run so little that it might be evicted at all. */
--- a/src/main/java/org/fieldtrestle/coordination/Fleet.java
+++ b/src/main/java/org/fieldtrestle/coordination/Fleet.java
@@ -40,12 +40,9 @@
   private double load;
   private long loadAt = -1;
 
-  /**
-   * As of the last look: whether anything lacks room, cheap machines, and by zone all and silent.
-   */
-  private boolean waiting;
-
+  /** As of the last look: cheap machines, and by zone all and silent. */
   private int cheap;
+
   private final Map<String, int[]> zones = new HashMap<>();
 
   Fleet(Master master, Faults faults) {
@@ -73,7 +70,6 @@
   void tick(long now) {
     faults.forgetEnded();
     list(now);
-    waiting = master.shortCpus() > 0;
     look(now);
     for (Host host : master.machines().all()) {
       judge(host, now);
@@ -128,8 +124,7 @@
       host.returning = true;
       return;
     }
-    long idleMs = idleMs(host, type) * (waiting ? 4 : 1);
-    if (host.up && host.resolved && host.empty() && now - host.idleSince > idleMs) {
+    if (host.up && host.resolved && host.empty() && now - host.idleSince > idleMs(host, type)) {
       drain(host, host.closing ? "not needed" : "idle");
     }
   }
@@ -154,13 +149,14 @@
 
   /**
    * Closes machines whose room is not needed: they take nothing new and go when they are empty. The
-   * dearest go first, of these the least used. They open again, the most used first, for what finds
-   * no room; on a large fleet something always waits for a moment, so that what counts is how much.
+   * dearest go first, of these the least used. They open again, the most used first, when less than
+   * the reserve is free on the others. What waits does not count: on a large fleet something always
+   * does for a moment, and no machine was ever closed.
    */
   private void close() {
     List<Host> open = new ArrayList<>();
     List<Host> closed = new ArrayList<>();
-    double surplus = -master.reserve() - master.shortCpus();
+    double surplus = -master.reserve();
     for (Host host : master.machines().all()) {
       MachineType type = node.type(host.type);
       if (type == null || !host.up || host.draining) {
@@ -177,13 +173,13 @@
         Comparator.comparing((Host host) -> host.spot).thenComparingDouble(Host::usedCpus);
     closed.sort(order.reversed());
     for (Host host : closed) {
-      if (surplus >= 0 && master.shortCpus() == 0) {
+      if (surplus >= 0) {
         break;
       }
       host.closing = false;
       surplus += node.type(host.type).cpus() - host.usedCpus();
     }
-    if (open.size() < 2 || master.shortCpus() > 0) {
+    if (open.size() < 2) {
       return;
     }
     open.sort(order);
--- a/src/main/java/org/fieldtrestle/coordination/Machines.java
+++ b/src/main/java/org/fieldtrestle/coordination/Machines.java
@@ -80,15 +80,7 @@
   }
 
   boolean anyUnresolved() {
-    if (node.now() < unknownUntil) {
-      return true;
-    }
-    for (Host host : unresolved) {
-      if (!host.lost) {
-        return true;
-      }
-    }
-    return false;
+    return node.now() < unknownUntil || !unresolved().isEmpty();
   }
 
   /** The epoch begins: what was there before it is ours to find out. */
--- a/src/main/java/org/fieldtrestle/coordination/Master.java
+++ b/src/main/java/org/fieldtrestle/coordination/Master.java
@@ -171,10 +171,6 @@
     return placement.reserve();
   }
 
-  double shortCpus() {
-    return placement.shortCpus();
-  }
-
   void sendDirect() {
     machines.sendDirect();
   }
--- a/src/main/java/org/fieldtrestle/coordination/Placement.java
+++ b/src/main/java/org/fieldtrestle/coordination/Placement.java
@@ -61,7 +61,6 @@
   private final Decisions decisions;
   private final Eviction eviction;
   private double urgentCpus;
-  private double shortCpus;
   private long steps;
 
   Placement(
@@ -153,13 +152,6 @@
     }
   }
 
-  /**
-   * CPUs that tasks lacked in the last pass; those that wait for their image's machines lack none.
-   */
-  double shortCpus() {
-    return shortCpus;
-  }
-
   /** A range that is new here. */
   void arrived(OwnedRange range) {
     if (range.spec != null && node.hurried(range.spec) && range.key.index() == 0) {
@@ -180,7 +172,6 @@
 
   /** Places what fits and lets what does not evict; does nothing where nothing waits. */
   void pass(long now) {
-    shortCpus = 0;
     List<Falcon.Waiting<Group>> groups = waiting(now);
     if (groups.isEmpty()) {
       return;
@@ -285,7 +276,6 @@
         continue;
       }
       Host.Room room = null;
-      boolean waits = false;
       // Room only shrinks within a step: what one task of a range did not find, none finds.
       if (range.noRoomIn != step
           && (next.what().overdue() || !pass.kept(range.spec))
@@ -297,12 +287,13 @@
             && !room.host.claimedBy(range, pass.now)
             && !next.what().overdue()
             && (withImage ? !pressing(next.what(), pass.now) : patient(pass, range))) {
-          waits = true;
           room = null;
         }
       }
       if (room == null) {
-        stuck.add(new Falcon.Waiting<>(next.what(), next.priority(), next.score(), slot.takeAll()));
+        // What found no room evicts by its own priority, though it may have been drawn by a higher.
+        Priority priority = withImage ? next.priority() : range.spec.priority();
+        stuck.add(new Falcon.Waiting<>(next.what(), priority, next.score(), slot.takeAll()));
         continue;
       }
       slot.takeOne();
@@ -422,11 +413,10 @@
         continue;
       }
       boolean has = room.host.hasImage(spec.image());
-      if (!has && (bestHas || !hurried && room.host.fetching())) {
-        // Two fetches at once share the line: both tasks start when the later would have anyway.
-        if (bestHas || !room.host.claimedBy(range, pass.now)) {
-          continue;
-        }
+      // Two fetches at once share the line: both tasks start when the later would have anyway.
+      boolean shares = !hurried && room.host.fetching() && !room.host.claimedBy(range, pass.now);
+      if (!has && (bestHas || shares)) {
+        continue;
       }
       double left = room.after(spec);
       if ((best == null
--- a/src/test/java/org/fieldtrestle/rehearsal/TroublesTest.java
+++ b/src/test/java/org/fieldtrestle/rehearsal/TroublesTest.java
@@ -112,9 +112,7 @@
       submit(scene, "job-" + i, 8, i == 1 ? 200_000 : 15_000);
     }
     scene.world.runUntil(25_000);
-    for (String label : scene.labels().subList(0, 1)) {
-      scene.lose(label, 80_000, "state", "peers");
-    }
+    scene.lose("trestle-0", 80_000, "state", "peers");
     scene.trouble(80_000);
     scene.world.after(3000, () -> scene.cancel(scene.jobs.get("job-1")));
     scene.world.runUntil(60_000);
@@ -210,6 +208,19 @@
     assertTrue(scene.rules.begun("job-900"), "a burst does not keep it from beginning");
   }
 
+  @Test
+  void aJobThatWaitedTooLongEvictsNobodyOfItsOwnPriority() {
+    Scene scene = scene(4);
+    submit(scene, "job-1", 16, 300_000);
+    scene.world.runUntil(25_000);
+    assertEquals(16, scene.rules.starts, "the fleet is full");
+    submit(scene, "job-2", 1, 10_000);
+    scene.world.runUntil(150_000);
+    assertQuiet(scene);
+    assertEquals(16, scene.rules.starts, "nobody was stopped and started again");
+    assertFalse(scene.rules.begun("job-2"), "it waits for room");
+  }
+
   @Test
   void aRestartMakesNoMachineACrawler() {
     Scene scene = scene(12);
