--- a/src/test/java/org/fieldtrestle/rehearsal/TroublesTest.java
+++ b/src/test/java/org/fieldtrestle/rehearsal/TroublesTest.java
@@ -214,7 +214,7 @@
     submit(scene, "job-1", 16, 300_000);
     scene.world.runUntil(25_000);
     assertEquals(16, scene.rules.starts, "the fleet is full");
-    submit(scene, "job-2", 1, 10_000);
+    submit(scene, "job-2", 90, 10_000); // so that the first outscores enough of what waits
     scene.world.runUntil(150_000);
     assertQuiet(scene);
     assertEquals(16, scene.rules.starts, "nobody was stopped and started again");
