Sockets shared by need; a controller's own pause is no silence of its machines

Cause, from the code worked out for 2,080 workers: 0.7 of 2,148 sockets for incoming connections refuses workers of one controller left alone; a line to the state service could fail for want of a socket that machines behind a cut hold; half-open connections lasted two leases. Sockets are one budget now: idle ones give way, the state service, the cloud and peers come first, connections of reports end with their answers from 0.8 of the limit on, requests have to be whole within half a lease, unread answers do not pile up.

A controller that stood still, or that might not answer for a while, counted its machines' silence, deafness and idleness from before: seen in simulated time, 9 of 12 machines were returned as idle and rented again after an outage of 45 s. All of these count from when machines could be heard again (whoMayNotAnswerForLongReplacesNoMachineAfterwards fails without). Rentals and returns go before pages of the machine list.

--- a/src/main/java/org/fieldtrestle/Main.java
+++ b/src/main/java/org/fieldtrestle/Main.java
@@ -4,6 +4,7 @@
 import java.net.InetSocketAddress;
 import java.nio.ByteBuffer;
 import java.nio.file.Path;
+import java.util.Set;
 import java.util.concurrent.Callable;
 import java.util.random.RandomGenerator;
 import org.fieldtrestle.coordination.Controller;
@@ -12,10 +13,12 @@
 import org.fieldtrestle.protocol.PeerWire;
 import org.fieldtrestle.protocol.Settings;
 import org.fieldtrestle.protocol.SettingsFile;
+import org.fieldtrestle.protocol.WorkerWire;
 import org.fieldtrestle.transport.HttpClient;
 import org.fieldtrestle.transport.HttpServer;
 import org.fieldtrestle.transport.NettyReactor;
 import org.fieldtrestle.transport.PeerNet;
+import org.fieldtrestle.transport.Sockets;
 import picocli.CommandLine;
 
 /** The program: reads its settings and wires a controller to the network. */
@@ -93,15 +96,35 @@
     }
     NioEventLoopGroup group = new NioEventLoopGroup(1);
     NettyReactor reactor = new NettyReactor(group.next());
-    int sockets = settings.limits().maxConnections();
-    long idleMs = Math.round(settings.workers().leaseS() * 2000);
-    // One controller alone has the reports of all machines, and users besides.
-    HttpClient client = new HttpClient(group.next(), sockets / 5);
-    PeerNet peers = new PeerNet(group, PeerWire.MAX_FRAME, sockets / 16, idleMs);
+    Sockets sockets = new Sockets(settings.limits().maxConnections());
+    long idleMs = settings.workerLeaseMs() * 2;
+    long reportMs = Math.round(settings.workers().reportS() * 1000);
+    HttpClient client =
+        new HttpClient(
+            group.next(),
+            sockets,
+            Set.of(settings.stateAddress(), settings.cloudAddress()),
+            settings.limits().maxConnections() / 5);
+    // Each other controller has one, and may have come back a few times while old ones linger.
+    PeerNet peers =
+        new PeerNet(
+            group,
+            sockets,
+            PeerWire.MAX_FRAME,
+            8 * (settings.peers().size() + 1),
+            idleMs,
+            reportMs);
     Controller controller =
         new Controller(
             settings, tuning, reactor, RandomGenerator.of("L64X128MixRandom"), client, peers);
-    HttpServer server = new HttpServer(group, controller, sockets * 7 / 10, idleMs);
+    HttpServer server =
+        new HttpServer(
+            group,
+            controller,
+            sockets,
+            WorkerWire.REPORT::equals,
+            idleMs,
+            settings.workerLeaseMs() / 2);
     server.start(address(settings.userAddress()));
     peers.start(
         address(settings.peerAddress()),
--- a/src/main/java/org/fieldtrestle/WarmUp.java
+++ b/src/main/java/org/fieldtrestle/WarmUp.java
@@ -6,6 +6,7 @@
 import java.net.InetSocketAddress;
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Path;
+import java.util.Set;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import java.util.jar.JarFile;
@@ -20,6 +21,7 @@
 import org.fieldtrestle.transport.HttpServer;
 import org.fieldtrestle.transport.NettyReactor;
 import org.fieldtrestle.transport.PeerNet;
+import org.fieldtrestle.transport.Sockets;
 import picocli.CommandLine;
 
 /**
@@ -47,8 +49,9 @@
     Settings settings = SettingsFile.parse(text);
     NioEventLoopGroup group = new NioEventLoopGroup(1);
     NettyReactor reactor = new NettyReactor(group.next());
-    HttpClient client = new HttpClient(group.next(), 10);
-    PeerNet peers = new PeerNet(group, PeerWire.MAX_FRAME, 4, 1000);
+    Sockets sockets = new Sockets(100);
+    HttpClient client = new HttpClient(group.next(), sockets, Set.of(), 10);
+    PeerNet peers = new PeerNet(group, sockets, PeerWire.MAX_FRAME, 4, 1000, 1000);
     Controller controller =
         new Controller(
             settings,
@@ -57,7 +60,7 @@
             RandomGenerator.of("L64X128MixRandom"),
             client,
             peers);
-    HttpServer server = new HttpServer(group, controller, 10, 1000);
+    HttpServer server = new HttpServer(group, controller, sockets, path -> false, 1000, 1000);
     int port = server.start(new InetSocketAddress("127.0.0.1", 0));
     peers.start(new InetSocketAddress("127.0.0.1", 0), frame -> {});
     reactor.execute(controller::start);
--- a/src/main/java/org/fieldtrestle/coordination/Cloud.java
+++ b/src/main/java/org/fieldtrestle/coordination/Cloud.java
@@ -21,7 +21,11 @@
   private final String address;
   private final long gapMs;
   private final long timeoutMs;
-  private final ArrayDeque<Runnable> queue = new ArrayDeque<>();
+
+  /** What changes the fleet goes before what only looks at it: a list has many pages. */
+  private final ArrayDeque<Runnable> changes = new ArrayDeque<>();
+
+  private final ArrayDeque<Runnable> looks = new ArrayDeque<>();
   private long nextAt;
   private boolean scheduled;
   private List<CloudWire.MachineType> types = List.of();
@@ -139,12 +143,13 @@
   }
 
   private void call(String method, String path, byte[] body, Consumer<Http.Outcome> done) {
-    queue.addLast(() -> caller.call(address, method, path, body, timeoutMs, done));
+    (method.equals("GET") ? looks : changes)
+        .addLast(() -> caller.call(address, method, path, body, timeoutMs, done));
     drain();
   }
 
   private void drain() {
-    if (scheduled || queue.isEmpty()) {
+    if (scheduled || changes.isEmpty() && looks.isEmpty()) {
       return;
     }
     long wait = nextAt - reactor.now();
@@ -160,7 +165,7 @@
     }
     // Two may go close together: the cloud allows bursts.
     nextAt = Math.max(nextAt + gapMs, reactor.now() - gapMs);
-    queue.removeFirst().run();
+    (changes.isEmpty() ? looks : changes).removeFirst().run();
     drain();
   }
 }
--- a/src/main/java/org/fieldtrestle/coordination/Fleet.java
+++ b/src/main/java/org/fieldtrestle/coordination/Fleet.java
@@ -90,7 +90,7 @@
       if (host.up) {
         int[] counts = zones.computeIfAbsent(host.zone, z -> new int[2]);
         counts[0]++;
-        counts[1] += silentFor(host, now) > node.reportMs(2) ? 1 : 0;
+        counts[1] += master.machines().silentFor(host, now) > node.reportMs(2) ? 1 : 0;
       }
     }
   }
@@ -113,7 +113,7 @@
       drain(host, "silent while others of its zone report");
       return;
     }
-    if (host.lost && now - host.leaseFrom > 2 * node.settings().workerLeaseMs()) {
+    if (host.lost && master.machines().silentFor(host, now) > 2 * node.settings().workerLeaseMs()) {
       drain(host, "silent for two leases");
       return;
     }
@@ -124,7 +124,10 @@
       host.returning = true;
       return;
     }
-    if (host.up && host.resolved && host.empty() && now - host.idleSince > idleMs(host, type)) {
+    if (host.up
+        && host.resolved
+        && host.empty()
+        && master.machines().listenedFor(host.idleSince, now) > idleMs(host, type)) {
       drain(host, host.closing ? "not needed" : "idle");
     }
   }
@@ -133,9 +136,11 @@
   private boolean deaf(Host host, long now) {
     long lease = node.settings().workerLeaseMs();
     if (host.deafSince >= 0) {
-      return now - host.deafSince > lease / 2;
+      return master.machines().listenedFor(host.deafSince, now) > lease / 2;
     }
-    return !host.resolved && host.heardAt >= 0 && now - host.since > lease + node.reportMs(4);
+    return !host.resolved
+        && host.heardAt >= 0
+        && master.machines().listenedFor(host.since, now) > lease + node.reportMs(4);
   }
 
   /** A cheap machine is kept for a while where the usual flow of work will want it again. */
@@ -197,18 +202,14 @@
     }
   }
 
-  private static long silentFor(Host host, long now) {
-    return now - Math.max(host.heardAt, host.leaseFrom);
-  }
-
   private boolean silent(Host host, long now) {
-    return silentFor(host, now) > node.reportMs(3.2);
+    return master.machines().silentFor(host, now) > node.reportMs(3.2);
   }
 
   /** Most of a zone silent at once is a cut, not the machines. */
   private boolean zoneSilent(Host host, long now) {
     int[] counts = zones.get(host.zone);
-    int self = silentFor(host, now) > node.reportMs(2) ? 1 : 0;
+    int self = master.machines().silentFor(host, now) > node.reportMs(2) ? 1 : 0;
     int silent = counts[1] - self;
     return silent > 0 && silent * 2 >= counts[0] - 1;
   }
@@ -456,7 +457,10 @@
     int machines = 0;
     double booting = 0;
     for (Host host : master.machines().all()) {
-      if (host.draining || host.lost || !kind.servedBy(host) || faults.avoids(kind.range(), host)) {
+      if (host.draining
+          || host.lost && silent(host, now)
+          || !kind.servedBy(host)
+          || faults.avoids(kind.range(), host)) {
         continue;
       }
       machines++;
--- a/src/main/java/org/fieldtrestle/coordination/Machines.java
+++ b/src/main/java/org/fieldtrestle/coordination/Machines.java
@@ -39,6 +39,12 @@
   /** Those that may have something to be told. */
   private final Set<Host> news = new LinkedHashSet<>();
 
+  /**
+   * Since when machines could be heard without a break. A controller that stood still, or that was
+   * not entitled to answer, has heard of none: their silence before says nothing of them.
+   */
+  private long listeningSince;
+
   /** Until when there may be machines that we know nothing of, as their record is damaged. */
   private long unknownUntil;
 
@@ -162,6 +168,21 @@
         && now - host.heardAt <= node.reportMs(2.5);
   }
 
+  /** Nobody could be heard until now. */
+  void heardNobody(long now) {
+    listeningSince = now;
+  }
+
+  /** For how long a machine has said nothing though it would have been heard. */
+  long silentFor(Host host, long now) {
+    return now - Math.max(Math.max(host.heardAt, host.leaseFrom), listeningSince);
+  }
+
+  /** For how long something has been as it is while the machine could have shown otherwise. */
+  long listenedFor(long since, long now) {
+    return now - Math.max(since, listeningSince);
+  }
+
   /** CPUs of all machines that are or will be of use. */
   double capacity() {
     double capacity = 0;
--- a/src/main/java/org/fieldtrestle/coordination/Master.java
+++ b/src/main/java/org/fieldtrestle/coordination/Master.java
@@ -71,6 +71,7 @@
   private boolean passDue;
   private long passNotBefore;
   private long reportedAt;
+  private long tickedAt;
 
   public Master(Node node, String name, long epoch, boolean othersMayAct) {
     super(node.reactor());
@@ -330,6 +331,10 @@
       return;
     }
     long now = node.now();
+    if (!node.acting() || now - tickedAt > node.reportMs(1)) {
+      machines.heardNobody(now);
+    }
+    tickedAt = now;
     machines.expire(now);
     ranges.refreshAll();
     if (node.acting()) {
--- a/src/main/java/org/fieldtrestle/transport/HttpClient.java
+++ b/src/main/java/org/fieldtrestle/transport/HttpClient.java
@@ -24,7 +24,6 @@
 import java.net.InetSocketAddress;
 import java.util.ArrayDeque;
 import java.util.HashMap;
-import java.util.LinkedHashSet;
 import java.util.Map;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
@@ -40,15 +39,22 @@
   private final EventLoop loop;
   private final Map<String, ArrayDeque<Line>> idle = new HashMap<>();
 
-  /** All idle lines, the longest idle first: with hundreds of machines they use up all sockets. */
-  private final Set<Line> allIdle = new LinkedHashSet<>();
+  private final Sockets sockets;
+  private final Set<String> needed;
+  private final int maxOthers;
 
-  private final int maxOpen;
-  private int open;
+  /** Connections to others than those we depend on. */
+  private int others;
 
-  public HttpClient(EventLoop loop, int maxOpen) {
+  /**
+   * @param needed addresses of those we depend on: they never wait for a socket that others hold
+   * @param maxOthers most connections to all others: machines behind a cut hold theirs for long
+   */
+  public HttpClient(EventLoop loop, Sockets sockets, Set<String> needed, int maxOthers) {
     this.loop = loop;
-    this.maxOpen = maxOpen;
+    this.sockets = sockets;
+    this.needed = needed;
+    this.maxOthers = maxOthers;
   }
 
   @Override
@@ -64,7 +70,7 @@
     Line line = null;
     while (kept != null && line == null && !kept.isEmpty()) {
       Line candidate = kept.pollLast();
-      allIdle.remove(candidate);
+      sockets.busy(candidate.channel);
       line = candidate.channel.isActive() ? candidate : null;
     }
     if (line != null) {
@@ -72,20 +78,24 @@
       line.send(address, pending);
       return;
     }
-    if (open >= maxOpen) {
-      if (allIdle.isEmpty()) {
-        loop.execute(() -> pending.finish(new Http.NotSent("no free socket")));
-        return;
-      }
-      Line oldest = allIdle.iterator().next();
-      forget(oldest);
-      oldest.channel.close();
+    boolean dependedOn = needed.contains(address);
+    if (!dependedOn && !roomForOthers() || !sockets.free(dependedOn)) {
+      loop.execute(() -> pending.finish(new Http.NotSent("no free socket")));
+      return;
     }
     connect(address, pending, timeoutMs);
   }
 
+  private boolean roomForOthers() {
+    while (others >= maxOthers) {
+      if (!sockets.closeIdleCall()) {
+        return false;
+      }
+    }
+    return true;
+  }
+
   private void forget(Line line) {
-    allIdle.remove(line);
     ArrayDeque<Line> kept = idle.get(line.address);
     if (kept != null) {
       kept.remove(line);
@@ -96,7 +106,8 @@
   }
 
   private void connect(String address, Pending pending, long timeoutMs) {
-    open++;
+    boolean other = !needed.contains(address);
+    others += other ? 1 : 0;
     Line fresh = new Line(address);
     ChannelFuture connecting =
         new Bootstrap()
@@ -116,7 +127,8 @@
                 })
             .connect(socket(address));
     fresh.channel = connecting.channel();
-    fresh.channel.closeFuture().addListener(f -> open--);
+    sockets.opened(fresh.channel);
+    fresh.channel.closeFuture().addListener(f -> others -= other ? 1 : 0);
     pending.limit(timeoutMs, fresh);
     connecting.addListener(
         f -> {
@@ -214,7 +226,9 @@
         ArrayDeque<Line> kept = idle.computeIfAbsent(address, a -> new ArrayDeque<>());
         if (kept.size() < IDLE_KEPT) {
           kept.addLast(this);
-          allIdle.add(this);
+          if (!needed.contains(address)) {
+            sockets.idle(channel, true);
+          }
         } else {
           ctx.close();
         }
--- a/src/main/java/org/fieldtrestle/transport/HttpServer.java
+++ b/src/main/java/org/fieldtrestle/transport/HttpServer.java
@@ -5,6 +5,7 @@
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoopGroup;
@@ -21,11 +22,11 @@
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
 import io.netty.handler.codec.http.QueryStringDecoder;
-import io.netty.handler.timeout.IdleStateHandler;
 import java.net.InetSocketAddress;
 import java.util.LinkedHashMap;
 import java.util.Map;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Predicate;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
@@ -36,20 +37,42 @@
   private static final int MAX_LINE = 4096;
   private static final int MAX_HEADERS = 8192;
 
+  /**
+   * How many times in the time that a request may take to arrive connections are looked through.
+   */
+  private static final int LOOKS = 4;
+
   private final EventLoopGroup group;
   private final Http.Handler handler;
-  private final int maxConnections;
+  private final Sockets sockets;
+  private final Predicate<String> doesWithout;
   private final long idleMs;
-  private int open;
+  private final long requestMs;
+
+  /** Connections that owe us the rest of a request, and since when, the longest first. */
+  private final Map<Channel, Long> owing = new LinkedHashMap<>();
+
+  /** Connections that have been answered and may ask again, and since when, the longest first. */
+  private final Map<Channel, Long> kept = new LinkedHashMap<>();
 
   /**
-   * @param idleMs a connection on which nothing arrives for so long is closed, half-open ones too
+   * @param doesWithout paths of those whose connections end first when sockets get scarce
+   * @param idleMs a kept connection on which nothing arrives for so long is closed
+   * @param requestMs a new connection, or a request that has begun, has to be whole within this
    */
-  public HttpServer(EventLoopGroup group, Http.Handler handler, int maxConnections, long idleMs) {
+  public HttpServer(
+      EventLoopGroup group,
+      Http.Handler handler,
+      Sockets sockets,
+      Predicate<String> doesWithout,
+      long idleMs,
+      long requestMs) {
     this.group = group;
     this.handler = handler;
-    this.maxConnections = maxConnections;
+    this.sockets = sockets;
+    this.doesWithout = doesWithout;
     this.idleMs = idleMs;
+    this.requestMs = requestMs;
   }
 
   /** Binds and returns the port it got. */
@@ -58,21 +81,28 @@
         new ServerBootstrap()
             .group(group)
             .channel(NioServerSocketChannel.class)
-            .option(ChannelOption.SO_BACKLOG, 512)
+            // After a restart all workers come at once; what is not taken in time comes again.
+            .option(ChannelOption.SO_BACKLOG, 4096)
             .option(ChannelOption.SO_REUSEADDR, true)
             .childOption(ChannelOption.TCP_NODELAY, true)
             .childHandler(
                 new ChannelInitializer<SocketChannel>() {
                   @Override
                   protected void initChannel(SocketChannel ch) {
-                    if (open >= maxConnections) {
+                    if (!sockets.free(false)) {
                       ch.close();
                       return;
                     }
-                    open++;
-                    ch.closeFuture().addListener(f -> open--);
+                    sockets.opened(ch);
+                    owing.put(ch, now());
+                    ch.closeFuture()
+                        .addListener(
+                            closed -> {
+                              owing.remove(ch);
+                              kept.remove(ch);
+                            });
                     ch.pipeline()
-                        .addLast(new IdleStateHandler(idleMs, 0, 0, TimeUnit.MILLISECONDS))
+                        .addLast(new Begin())
                         .addLast(new HttpServerCodec(MAX_LINE, MAX_HEADERS, MAX_LINE))
                         .addLast(new HttpObjectAggregator(MAX_BODY, true))
                         .addLast(new Exchange());
@@ -81,15 +111,54 @@
             .bind(address)
             .sync()
             .channel();
+    long each = Math.max(1, requestMs / LOOKS);
+    channel
+        .eventLoop()
+        .scheduleWithFixedDelay(this::closeOverdue, each, each, TimeUnit.MILLISECONDS);
     return ((InetSocketAddress) channel.localAddress()).getPort();
   }
 
+  private static long now() {
+    return System.nanoTime() / 1_000_000;
+  }
+
+  /** Whoever never finishes a request, or never sends one, holds no socket for long. */
+  private void closeOverdue() {
+    closeOlder(owing, now() - requestMs);
+    closeOlder(kept, now() - idleMs);
+  }
+
+  private static void closeOlder(Map<Channel, Long> since, long than) {
+    while (!since.isEmpty()) {
+      Map.Entry<Channel, Long> oldest = since.entrySet().iterator().next();
+      if (oldest.getValue() > than) {
+        return;
+      }
+      Channel channel = oldest.getKey();
+      since.remove(channel);
+      channel.close();
+    }
+  }
+
+  /** Sees when the first byte of a request arrives on a kept connection. */
+  private final class Begin extends ChannelInboundHandlerAdapter {
+    @Override
+    public void channelRead(ChannelHandlerContext ctx, Object message) throws Exception {
+      if (kept.remove(ctx.channel()) != null) {
+        sockets.busy(ctx.channel());
+        owing.put(ctx.channel(), now());
+      }
+      super.channelRead(ctx, message);
+    }
+  }
+
   private final class Exchange extends SimpleChannelInboundHandler<FullHttpRequest> {
     private boolean busy;
 
     @Override
     protected void channelRead0(ChannelHandlerContext ctx, FullHttpRequest message) {
-      if (busy) { // pipelining is outside the protocol
+      if (busy || !ctx.channel().isWritable()) {
+        // Pipelining is outside the protocol, and answers that nobody reads would pile up.
         ctx.close();
         return;
       }
@@ -98,7 +167,7 @@
         return;
       }
       busy = true;
-      boolean keep = HttpUtil.isKeepAlive(message);
+      owing.remove(ctx.channel());
       byte[] body = new byte[message.content().readableBytes()];
       message.content().readBytes(body);
       String path;
@@ -111,6 +180,8 @@
         send(ctx, false, new Http.Response(400, Http.Response.EMPTY));
         return;
       }
+      boolean keep =
+          HttpUtil.isKeepAlive(message) && !sockets.endsWithAnswer(doesWithout.test(path));
       try {
         handler.handle(
             new Http.Request(message.method().name(), path, query, body),
@@ -145,20 +216,16 @@
         out.headers().set(HttpHeaderNames.RETRY_AFTER, response.retryAfterS());
       }
       if (keep && !response.close()) {
+        kept.put(ctx.channel(), now());
+        sockets.idle(ctx.channel(), false);
         ctx.writeAndFlush(out);
       } else {
         out.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
+        owing.put(ctx.channel(), now()); // until it is gone
         ctx.writeAndFlush(out).addListener(ChannelFutureListener.CLOSE);
       }
     }
 
-    @Override
-    public void userEventTriggered(ChannelHandlerContext ctx, Object event) {
-      if (!busy) {
-        ctx.close();
-      }
-    }
-
     @Override
     public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
       LOG.debug("connection {} dropped: {}", ctx.channel().remoteAddress(), cause.toString());
--- a/src/main/java/org/fieldtrestle/transport/PeerNet.java
+++ b/src/main/java/org/fieldtrestle/transport/PeerNet.java
@@ -37,16 +37,30 @@
 
   private final EventLoopGroup group;
   private final int maxFrame;
+  private final Sockets sockets;
   private final int maxInbound;
   private final long idleMs;
+  private final long connectMs;
   private final Map<String, Channel> outbound = new HashMap<>();
   private int inbound;
 
-  public PeerNet(EventLoopGroup group, int maxFrame, int maxInbound, long idleMs) {
+  /**
+   * @param idleMs an incoming connection on which nothing arrives for so long is closed
+   * @param connectMs a connection that is not there by then is tried anew
+   */
+  public PeerNet(
+      EventLoopGroup group,
+      Sockets sockets,
+      int maxFrame,
+      int maxInbound,
+      long idleMs,
+      long connectMs) {
     this.group = group;
+    this.sockets = sockets;
     this.maxFrame = maxFrame;
     this.maxInbound = maxInbound;
     this.idleMs = idleMs;
+    this.connectMs = connectMs;
   }
 
   /** Binds; every frame that arrives is handed on without its length. */
@@ -60,11 +74,12 @@
             new ChannelInitializer<SocketChannel>() {
               @Override
               protected void initChannel(SocketChannel ch) {
-                if (inbound >= maxInbound) {
+                if (inbound >= maxInbound || !sockets.free(true)) {
                   ch.close();
                   return;
                 }
                 inbound++;
+                sockets.opened(ch);
                 ch.closeFuture().addListener(f -> inbound--);
                 ch.pipeline()
                     .addLast(new IdleStateHandler(idleMs, 0, 0, TimeUnit.MILLISECONDS))
@@ -80,12 +95,15 @@
   public void send(String address, ByteBuffer frame) {
     Channel channel = outbound.get(address);
     if (channel == null) {
+      if (!sockets.free(true)) {
+        return;
+      }
       ChannelFuture connecting =
           new Bootstrap()
               .group(group)
               .channel(NioSocketChannel.class)
               .option(ChannelOption.TCP_NODELAY, true)
-              .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, (int) idleMs)
+              .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, (int) connectMs)
               .handler(
                   new ChannelInitializer<SocketChannel>() {
                     @Override
@@ -95,6 +113,7 @@
                   })
               .connect(HttpClient.socket(address));
       Channel fresh = connecting.channel();
+      sockets.opened(fresh);
       outbound.put(address, fresh);
       fresh.closeFuture().addListener(f -> outbound.remove(address, fresh));
     } else if (channel.isActive()) {
--- a/src/test/java/org/fieldtrestle/rehearsal/HistoriesTest.java
+++ b/src/test/java/org/fieldtrestle/rehearsal/HistoriesTest.java
@@ -97,7 +97,7 @@
     WorkerStandIn machine =
         machines.isEmpty() ? null : machines.get((int) world.between(0, machines.size() - 1));
     String label = scene.labels().get((int) world.between(0, 2));
-    int kind = (int) world.between(0, 18);
+    int kind = (int) world.between(0, 20);
     LOG.debug(
         "{} ms: trouble {} {} {}", world.now(), kind, label, machine == null ? "" : machine.id);
     switch (kind) {
@@ -194,6 +194,19 @@
           }
         }
       }
+      case 18 -> { // stands still while its clocks run on
+        long ms = world.between(1000, 70_000);
+        scene.trouble(ms);
+        scene.freeze(label, ms);
+      }
+      case 19 -> { // all held packets of a zone at once, amid restarts
+        long ms = world.between(20_000, 60_000);
+        scene.trouble(ms + 10_000);
+        scene.net.cut("a", "b", ms);
+        scene.net.cut("b", "regional", ms);
+        world.after(
+            ms - 500, () -> scene.labels().forEach(one -> scene.kill(one, world.between(50, 400))));
+      }
       default -> {
         if (machine != null) {
           machine.failsTasks = true;
--- a/src/test/java/org/fieldtrestle/rehearsal/Scene.java
+++ b/src/test/java/org/fieldtrestle/rehearsal/Scene.java
@@ -40,6 +40,10 @@
 
   private static final class Process {
     boolean alive = true;
+
+    /** Until when it stands still, while its clocks run on and what comes for it piles up. */
+    long frozenUntil;
+
     Controller controller;
   }
 
@@ -144,7 +148,10 @@
     processes.put(label, process);
     Reactor reactor =
         world.process(
-            () -> process.alive, world.random.nextDouble() * 0.0005, world.between(-100, 100));
+            () -> process.alive,
+            work -> turn(process, work),
+            world.random.nextDouble() * 0.0005,
+            world.between(-100, 100));
     Http.Caller caller =
         (address, method, path, body, timeoutMs, done) -> {
           if (address.equals(STATE) && isolated(label) > 0) {
@@ -170,7 +177,8 @@
               outcome -> {
                 // Watches that are open wait as they would in an outage.
                 long wait = path.startsWith("/watch") ? isolated(label) : 0;
-                world.after(wait, () -> process.alive, () -> done.accept(outcome));
+                world.after(
+                    wait, () -> process.alive, () -> turn(process, () -> done.accept(outcome)));
               });
         };
     process.controller =
@@ -191,12 +199,30 @@
         (request, reply) -> {
           boolean report = request.path().equals("/hello");
           if (!lost(label, report ? "workers" : "users")) {
-            process.controller.handle(request, reply);
+            turn(process, () -> process.controller.handle(request, reply));
           }
         });
     reactor.execute(process.controller::start);
   }
 
+  private void turn(Process process, Runnable work) {
+    long wait = process.frozenUntil - world.now();
+    if (wait > 0) {
+      world.after(wait, () -> process.alive, () -> turn(process, work));
+    } else {
+      work.run();
+    }
+  }
+
+  /** A controller does nothing for a while; then it has everything at once. */
+  void freeze(String label, long ms) {
+    processes.get(label).frozenUntil = world.now() + ms;
+  }
+
+  private boolean frozen(String label) {
+    return world.now() < processes.get(label).frozenUntil;
+  }
+
   /** For a while a controller and these others do not reach each other. */
   void lose(String label, long ms, String... others) {
     for (String other : others) {
@@ -223,7 +249,7 @@
       world.after(
           world.chance(0.05) ? world.between(500, 60_000) : world.between(1, 5),
           () -> to.alive,
-          () -> to.controller.frame(ByteBuffer.wrap(bytes)));
+          () -> turn(to, () -> to.controller.frame(ByteBuffer.wrap(bytes))));
     }
   }
 
@@ -262,7 +288,7 @@
   /** What a controller answers to the load balancer. */
   boolean ready(String label) {
     int[] status = {0};
-    if (processes.get(label).alive && !lost(label, "users")) {
+    if (processes.get(label).alive && !frozen(label) && !lost(label, "users")) {
       processes
           .get(label)
           .controller
--- a/src/test/java/org/fieldtrestle/rehearsal/TroublesTest.java
+++ b/src/test/java/org/fieldtrestle/rehearsal/TroublesTest.java
@@ -235,4 +235,58 @@
     assertQuiet(scene);
     assertEquals(before, scene.cloud.rentedEver(), "no machine had to be replaced");
   }
+
+  /** A steady fleet, all of whose machines have work for longer than the test looks. */
+  private Scene busy() {
+    Scene scene = scene(12);
+    submit(scene, "job-1", 48, 400_000);
+    scene.world.runUntil(60_000);
+    assertTrue(scene.rules.starts >= 24, "the fleet is up");
+    return scene;
+  }
+
+  @Test
+  void aControllerThatStoodStillReplacesNoMachine() {
+    // Shorter than a lease, so that nothing is lost by it; at every step of what it does in turn.
+    for (long at = 0; at < 2500; at += 250) {
+      Scene scene = busy();
+      int rented = scene.cloud.rentedEver();
+      int starts = scene.rules.starts;
+      scene.world.runUntil(60_000 + at);
+      scene.labels().forEach(label -> scene.freeze(label, 11_500));
+      scene.world.runUntil(120_000);
+      assertQuiet(scene);
+      assertEquals(rented, scene.cloud.rentedEver(), "its own pause, not the machines', at " + at);
+      assertEquals(starts, scene.rules.starts, "nothing was lost by it at " + at);
+    }
+  }
+
+  @Test
+  void aControllerThatStoodStillForLongerThanItsLeaseIsReplaced() {
+    for (long ms = 24_000; ms <= 48_000; ms += 6000) {
+      Scene scene = scene(12);
+      for (int i = 0; i < 6; i++) {
+        submit(scene, "job-" + i, 12, 20_000);
+      }
+      scene.world.runUntil(30_000);
+      scene.trouble(ms + 10_000);
+      scene.freeze("trestle-0", ms);
+      scene.world.after(2000, () -> scene.cancel(scene.jobs.get("job-3")));
+      scene.world.runUntil(330_000);
+      assertQuiet(scene);
+      assertEquals("cancelled", scene.rules.lastOf("job-3"));
+      assertDone(scene, "job-0", "job-1", "job-2", "job-4", "job-5");
+    }
+  }
+
+  @Test
+  void whoMayNotAnswerForLongReplacesNoMachineAfterwards() {
+    Scene scene = busy();
+    int rented = scene.cloud.rentedEver();
+    scene.trouble(60_000);
+    scene.state.outage(45_000); // longer than controllers and workers may go on without it
+    scene.world.runUntil(180_000);
+    assertQuiet(scene);
+    assertEquals(rented, scene.cloud.rentedEver(), "the machines are as good as before");
+  }
 }
--- a/src/test/java/org/fieldtrestle/rehearsal/World.java
+++ b/src/test/java/org/fieldtrestle/rehearsal/World.java
@@ -2,6 +2,7 @@
 
 import java.util.PriorityQueue;
 import java.util.function.BooleanSupplier;
+import java.util.function.Consumer;
 import java.util.random.RandomGenerator;
 import org.fieldtrestle.transport.Reactor;
 
@@ -51,8 +52,12 @@
     return random.nextDouble() < p;
   }
 
-  /** The reactor of one process, whose steady clock drifts and which can be killed. */
-  Reactor process(BooleanSupplier alive, double drift, long wallOff) {
+  /**
+   * The reactor of one process, whose steady clock drifts and which can be killed.
+   *
+   * @param turn runs what is due, or keeps it for later while the process stands still
+   */
+  Reactor process(BooleanSupplier alive, Consumer<Runnable> turn, double drift, long wallOff) {
     long begun = now;
     return new Reactor() {
       @Override
@@ -67,13 +72,22 @@
 
       @Override
       public void execute(Runnable work) {
-        after(0, alive, work);
+        after(0, alive, () -> turn.accept(work));
       }
 
       @Override
       public Timer schedule(long delayMs, Runnable work) {
         boolean[] off = {false};
-        after(Math.round(delayMs / (1 + drift)), () -> alive.getAsBoolean() && !off[0], work);
+        after(
+            Math.round(delayMs / (1 + drift)),
+            alive,
+            () ->
+                turn.accept(
+                    () -> {
+                      if (!off[0]) {
+                        work.run();
+                      }
+                    }));
         return () -> off[0] = true;
       }
     };
--- a/src/test/java/org/fieldtrestle/transport/HttpServerTest.java
+++ b/src/test/java/org/fieldtrestle/transport/HttpServerTest.java
@@ -3,6 +3,7 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import io.netty.channel.embedded.EmbeddedChannel;
 import io.netty.channel.nio.NioEventLoopGroup;
 import java.io.IOException;
 import java.io.InputStream;
@@ -21,6 +22,10 @@
 
   @BeforeEach
   void start() throws InterruptedException {
+    port = serve(60_000);
+  }
+
+  private int serve(long requestMs) throws InterruptedException {
     HttpServer server =
         new HttpServer(
             group,
@@ -32,9 +37,11 @@
                   new Http.Response(
                       200, ("got " + request.body().length).getBytes(StandardCharsets.UTF_8)));
             },
-            3,
-            60_000);
-    port = server.start(new InetSocketAddress("127.0.0.1", 0));
+            new Sockets(6), // four of them for whoever calls
+            path -> path.equals("/often"),
+            60_000,
+            requestMs);
+    return server.start(new InetSocketAddress("127.0.0.1", 0));
   }
 
   @AfterEach
@@ -94,25 +101,94 @@
     assertServes();
   }
 
+  private static void ask(Socket socket, String path) throws IOException {
+    socket
+        .getOutputStream()
+        .write(
+            ("GET " + path + " HTTP/1.1\r\nHost: h\r\n\r\n").getBytes(StandardCharsets.US_ASCII));
+  }
+
+  private static String answer(Socket socket) throws IOException {
+    StringBuilder all = new StringBuilder();
+    while (all.indexOf("got 0") < 0) {
+      int next = socket.getInputStream().read();
+      if (next < 0) {
+        return all + "closed";
+      }
+      all.append((char) next);
+    }
+    return all.toString();
+  }
+
+  private static int end(Socket socket) {
+    try {
+      return socket.getInputStream().read();
+    } catch (IOException e) {
+      return -1;
+    }
+  }
+
   @Test
-  void connectionsBeyondTheLimitAreClosedAndOthersLive() throws IOException {
+  void anIdleConnectionGivesWayToOneThatIsNeeded() throws IOException {
     try (Socket a = new Socket("127.0.0.1", port);
         Socket b = new Socket("127.0.0.1", port);
-        Socket c = new Socket("127.0.0.1", port)) {
-      for (Socket one : new Socket[] {a, b, c}) { // an answer shows that it was taken in
-        one.getOutputStream()
-            .write("GET /x HTTP/1.1\r\nHost: h\r\n\r\n".getBytes(StandardCharsets.US_ASCII));
-        assertEquals('H', one.getInputStream().read());
+        Socket c = new Socket("127.0.0.1", port);
+        Socket d = new Socket("127.0.0.1", port)) {
+      for (Socket one : new Socket[] {a, b, c, d}) {
+        ask(one, "/x");
+        assertTrue(answer(one).startsWith("HTTP/1.1 200"));
       }
-      try (Socket d = new Socket("127.0.0.1", port)) {
-        int read;
-        try {
-          read = d.getInputStream().read();
-        } catch (IOException e) {
-          read = -1;
-        }
-        assertEquals(-1, read, "closed at once");
+      try (Socket e = new Socket("127.0.0.1", port)) {
+        ask(e, "/x");
+        assertTrue(answer(e).startsWith("HTTP/1.1 200"), "served though all sockets were taken");
+        assertEquals(-1, end(a), "in the place of the one that was idle the longest");
+        ask(b, "/x");
+        assertTrue(answer(b).startsWith("HTTP/1.1 200"), "the others stay");
       }
     }
   }
+
+  @Test
+  void connectionsThatOweARequestAreBoundedInNumberAndTime() throws Exception {
+    try (Socket a = new Socket("127.0.0.1", port);
+        Socket b = new Socket("127.0.0.1", port);
+        Socket c = new Socket("127.0.0.1", port);
+        Socket d = new Socket("127.0.0.1", port)) {
+      for (Socket one : new Socket[] {a, b, c, d}) { // each is in the middle of its next request
+        ask(one, "/x");
+        answer(one);
+        one.getOutputStream().write("GET /x".getBytes(StandardCharsets.US_ASCII));
+      }
+      try (Socket e = new Socket("127.0.0.1", port)) {
+        assertEquals(-1, end(e), "none of them is idle, and there are no more");
+      }
+    }
+    int hurried = serve(300);
+    try (Socket silent = new Socket("127.0.0.1", hurried);
+        Socket half = new Socket("127.0.0.1", hurried)) {
+      half.getOutputStream().write("GET /x HTTP/1.1\r\nHo".getBytes(StandardCharsets.US_ASCII));
+      assertEquals(-1, end(silent), "never sends anything");
+      assertEquals(-1, end(half), "never ends its request");
+    }
+    assertServes();
+  }
+
+  @Test
+  void nearTheLimitConnectionsEndWithTheirAnswers() throws Exception {
+    EmbeddedChannel[] open = new EmbeddedChannel[95];
+    Sockets sockets = new Sockets(100); // 96 of them
+    for (int i = 0; i < open.length; i++) {
+      assertEquals(i > 76, sockets.endsWithAnswer(true), "those that come often, at " + i);
+      assertEquals(i > 86, sockets.endsWithAnswer(false), "all, at " + i);
+      assertEquals(i < 92, sockets.free(false), "for whoever calls, at " + i);
+      assertTrue(sockets.free(true), "for those we depend on, at " + i);
+      open[i] = new EmbeddedChannel();
+      sockets.opened(open[i]);
+    }
+    sockets.idle(open[3], false);
+    sockets.idle(open[50], true);
+    assertTrue(sockets.free(false) || !open[50].isOpen(), "a call's idle connection goes first");
+    assertTrue(!open[50].isOpen() && !open[3].isOpen(), "then one of whoever calls");
+    assertEquals(93, sockets.open());
+  }
 }
