--- a/src/main/java/org/fieldtrestle/coordination/Machines.java
+++ b/src/main/java/org/fieldtrestle/coordination/Machines.java
@@ -32,6 +32,7 @@
   private final Ranges ranges;
   private final Map<String, Host> hosts = new TreeMap<>();
   private final Usage usage = new Usage();
+  private final Lines lines;
 
   /** Those of which we do not know yet what an earlier epoch has left on them. */
   private final Set<Host> unresolved = new LinkedHashSet<>();
@@ -52,6 +53,7 @@
     this.master = master;
     this.node = master.node;
     this.ranges = ranges;
+    this.lines = new Lines(node.settings().workers().reportS());
   }
 
   Iterable<Host> all() {
@@ -70,6 +72,10 @@
     return usage;
   }
 
+  Lines lines() {
+    return lines;
+  }
+
   void forgetMissing(Map<String, ?> by) {
     by.keySet().retainAll(hosts.keySet());
   }
@@ -450,6 +456,9 @@
       case RUNNING -> {
         if (task.runningSince < 0) {
           task.runningSince = now;
+          if (task.fetchBesideS > 0) {
+            lines.came((now - task.placedAt) / 1000.0, task.fetchBesideS);
+          }
         }
         host.moved(task, Placed.State.RUNNING);
       }
--- a/src/main/java/org/fieldtrestle/coordination/Master.java
+++ b/src/main/java/org/fieldtrestle/coordination/Master.java
@@ -95,6 +95,7 @@
             ranges,
             shares,
             faults,
+            machines.lines(),
             this);
   }
 
@@ -198,18 +199,23 @@
     long since = retry == null ? range.waitingSince : retry.waitingSince;
     TaskId id = new TaskId(range.key.job(), range.record.from() + offset);
     Placed task = new Placed(id, attempt, host, range, now, (now - since) / 1000.0);
+    MachineType type = node.type(host.type);
+    if (host.fetching() && !host.hasImage(range.spec.image())) {
+      task.fetchBesideS = Fleet.fetchS(type, range.spec);
+    }
     host.put(task);
     range.place(offset, task);
     host.idleSince = now;
     machines.newsFor(host);
-    MachineType type = node.type(host.type);
-    if (!host.hasImage(range.spec.image())) {
+    boolean fetches = !host.hasImage(range.spec.image());
+    if (fetches) {
       node.stats().fetches++;
     }
     host.usesImage(range.spec.image(), range.spec.imageGb(), type.cacheGb());
     node.stats().placed++;
     Stats.record(node.stats().startWaitMs, now - since);
-    LOG.debug("task {} placed after {} ms", task, now - since);
+    LOG.debug(
+        "task {} placed after {} ms{}", task, now - since, fetches ? ", fetching its image" : "");
   }
 
   /** The condition that makes every write of this epoch fail once the next has begun. */
--- a/src/main/java/org/fieldtrestle/coordination/Node.java
+++ b/src/main/java/org/fieldtrestle/coordination/Node.java
@@ -4,7 +4,7 @@
 import java.util.random.RandomGenerator;
 import org.fieldtrestle.bookkeeping.Store;
 import org.fieldtrestle.bookkeeping.View;
-import org.fieldtrestle.protocol.CloudWire;
+import org.fieldtrestle.protocol.CloudWire.MachineType;
 import org.fieldtrestle.protocol.JobSpec;
 import org.fieldtrestle.protocol.Settings;
 import org.fieldtrestle.transport.Http;
@@ -27,8 +27,8 @@
   /** A task may evict once this part of the time in which it is to start has gone by. */
   private static final double EVICT_AFTER = 6;
 
-  public CloudWire.MachineType type(String name) {
-    for (CloudWire.MachineType type : cloud.types()) {
+  public MachineType type(String name) {
+    for (MachineType type : cloud.types()) {
       if (type.name().equals(name)) {
         return type;
       }
@@ -36,7 +36,7 @@
     return null;
   }
 
-  public List<CloudWire.MachineType> types() {
+  public List<MachineType> types() {
     return cloud.types();
   }
 
@@ -61,12 +61,21 @@
   /** How soon a machine comes up, of the type that is the quickest. */
   double bootS() {
     double least = Double.MAX_VALUE;
-    for (CloudWire.MachineType type : types()) {
+    for (MachineType type : types()) {
       least = Math.min(least, type.bootS());
     }
     return least == Double.MAX_VALUE ? 0 : least;
   }
 
+  /** How long the image of a job takes to come, on the type with the slowest line. */
+  double fetchS(JobSpec spec) {
+    double fetchS = 0;
+    for (MachineType type : types()) {
+      fetchS = Math.max(fetchS, Fleet.fetchS(type, spec));
+    }
+    return fetchS;
+  }
+
   private double waitWithinS(JobSpec spec) {
     double within = Double.MAX_VALUE;
     for (Settings.Objective aim : settings.objectives()) {
--- a/src/main/java/org/fieldtrestle/coordination/Placed.java
+++ b/src/main/java/org/fieldtrestle/coordination/Placed.java
@@ -65,6 +65,9 @@
    */
   boolean spared;
 
+  /** How long its image should take by itself, where its line was busy when it was placed; or 0. */
+  double fetchBesideS;
+
   /** Its beginning was not seen: it was there when this epoch found it. */
   boolean found;
 
--- a/src/main/java/org/fieldtrestle/coordination/Placement.java
+++ b/src/main/java/org/fieldtrestle/coordination/Placement.java
@@ -31,6 +31,9 @@
   /** A job counts as late once this share of its estimate no longer fits before its deadline. */
   private static final double LATE_AT = 0.7;
 
+  /** Share of its slack after which a task that hurries takes a busy line, though it is shared. */
+  private static final double SHARES_FROM = 0.5;
+
   /** Share of its slack after which a task no longer leaves room to those whose image is there. */
   private static final double PRESSING = 0.9;
 
@@ -58,6 +61,7 @@
   private final Ranges ranges;
   private final Shares shares;
   private final Faults faults;
+  private final Lines lines;
   private final Decisions decisions;
   private final Eviction eviction;
   private double urgentCpus;
@@ -71,6 +75,7 @@
       Ranges ranges,
       Shares shares,
       Faults faults,
+      Lines lines,
       Decisions decisions) {
     this.node = node;
     this.master = master;
@@ -79,6 +84,7 @@
     this.ranges = ranges;
     this.shares = shares;
     this.faults = faults;
+    this.lines = lines;
     this.decisions = decisions;
     this.eviction = new Eviction(node, falcon, machines, shares, faults, decisions);
   }
@@ -280,7 +286,7 @@
       if (range.noRoomIn != step
           && (next.what().overdue() || !pass.kept(range.spec))
           && shares.allows(range.spec)) {
-        room = choose(pass, range, next.what().first());
+        room = choose(pass, next.what(), next.what().first());
         if (room == null) {
           range.noRoomIn = step;
         } else if (!room.host.hasImage(range.spec.image())
@@ -307,16 +313,15 @@
 
   /** Whether a task has waited for so much of its slack that it takes any room there is. */
   private boolean pressing(Group group, long now) {
+    return node.hurried(group.range().spec) || usedUp(group, now) > PRESSING;
+  }
+
+  /** The share of its slack that a task has waited for. */
+  private double usedUp(Group group, long now) {
     JobSpec spec = group.range().spec;
-    if (node.hurried(spec)) {
-      return true;
-    }
-    double fetchS = 0;
-    for (MachineType type : node.types()) {
-      fetchS = Math.max(fetchS, Fleet.fetchS(type, spec));
-    }
+    double fetchS = node.fetchS(spec);
     double slack = spec.deadlineS() < 0 ? 4 * fetchS : spec.deadlineS() - spec.estimateS() - fetchS;
-    return group.waitedS(now) > slack * PRESSING;
+    return group.waitedS(now) / Math.max(node.tuning().floorS(), slack);
   }
 
   /** All tasks of a gang at once, or none. */
@@ -328,7 +333,7 @@
     }
     Map<Integer, Host.Room> chosen = new TreeMap<>();
     for (int offset = all.nextSetBit(0); offset >= 0; offset = all.nextSetBit(offset + 1)) {
-      Host.Room room = choose(pass, range, offset);
+      Host.Room room = choose(pass, new Group(range, offset), offset);
       if (room == null) {
         chosen.values().forEach(taken -> taken.giveBack(range.spec));
         return;
@@ -402,9 +407,14 @@
   }
 
   /** The fitting machine with the least room left, of those that have the image if any has it. */
-  private Host.Room choose(Pass pass, OwnedRange range, int offset) {
+  private Host.Room choose(Pass pass, Group group, int offset) {
+    OwnedRange range = group.range();
     JobSpec spec = range.spec;
-    boolean hurried = node.hurried(spec);
+    // Two fetches at once share the line: both tasks start when the later would have anyway. One
+    // that hurries goes there all the same, unless lines were seen to be shared: then its small
+    // image takes as long as a large one beside it, and who has it will have room before.
+    boolean hurried =
+        node.hurried(spec) && (!lines.shared() || usedUp(group, pass.now) > SHARES_FROM);
     Host.Room best = null;
     boolean bestHas = false;
     double bestLeft = 0;
@@ -413,7 +423,6 @@
         continue;
       }
       boolean has = room.host.hasImage(spec.image());
-      // Two fetches at once share the line: both tasks start when the later would have anyway.
       boolean shares = !hurried && room.host.fetching() && !room.host.claimedBy(range, pass.now);
       if (!has && (bestHas || shares)) {
         continue;
--- /dev/null
+++ b/src/test/java/org/fieldtrestle/coordination/LinesTest.java
@@ -0,0 +1,35 @@
+package org.fieldtrestle.coordination;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
+import java.util.SplittableRandom;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.constraints.DoubleRange;
+import net.jqwik.api.constraints.LongRange;
+
+class LinesTest {
+  /** An image of so many seconds came after what it takes, by a third more or less, and telling. */
+  private static void images(Lines lines, SplittableRandom random, double aloneS, double times) {
+    for (int i = 0; i < 60; i++) {
+      double fetchS = aloneS * times * (0.67 + random.nextDouble() * 0.66);
+      lines.came(fetchS + random.nextDouble() * 4, aloneS);
+    }
+  }
+
+  @Property(tries = 200, seed = "51")
+  void whetherImagesShareTheirLineIsLearnedWhateverTheirSize(
+      @ForAll @DoubleRange(min = 5, max = 120) double aloneS,
+      @ForAll @LongRange(min = 0) long seed) {
+    SplittableRandom random = new SplittableRandom(seed);
+    Lines lines = new Lines(4);
+    images(lines, random, aloneS, 1);
+    assertEquals(false, lines.shared(), "each has a line of its own");
+    images(lines, random, aloneS, 2.4);
+    assertEquals(true, lines.shared(), "beside one or two others");
+    images(lines, random, 0.5, 1);
+    assertEquals(true, lines.shared(), "those that take no time tell nothing");
+    images(lines, random, aloneS, 1);
+    assertEquals(false, lines.shared(), "no longer");
+  }
+}
