A controller without its workers hands its masters over; no master is left to nobody

Its workers ask the others meanwhile: these tell how many they sent on to it, and where it hears of none of its machines itself, it gives its masters to whoever they reach. It ends acting before that is written, so that the next epoch waits for nobody.

Frames carry the sender's time of day: those that a cut has held are dropped.

--- a/src/main/java/org/fieldtrestle/coordination/Controller.java
+++ b/src/main/java/org/fieldtrestle/coordination/Controller.java
@@ -37,6 +37,7 @@
   private final PeerLink peers;
   private final Loads loads;
   private final Gateway gateway;
+  private final Handover handover;
   private final Map<String, Master> masters = new TreeMap<>();
   private final Set<String> adopting = new HashSet<>();
   private final Set<String> finishing = new HashSet<>();
@@ -77,6 +78,7 @@
             membership,
             loads,
             new Stats());
+    this.handover = new Handover(node);
     this.gateway =
         new Gateway(
             node,
@@ -141,21 +143,38 @@
   private void tick() {
     masters.values().forEach(master -> master.tell(new Master.Tick()));
     finishComplete();
+    handOver();
     reactor.schedule(node.reportMs(0.2), this::tick);
   }
 
+  /** Whoever our workers reach had better hold our masters while they do not reach us. */
+  private void handOver() {
+    String to = node.acting() ? handover.better(masters.values()) : null;
+    if (to != null) {
+      LOG.warn("no machine of ours reaches us, but they reach {}: handing over to it", to);
+      List.copyOf(masters.keySet()).forEach(master -> node.membership().handOver(master, to));
+    }
+  }
+
   private void gossip() {
     ByteBuffer pulse =
         PeerWire.encode(
+            reactor.wall(),
             new PeerWire.Pulse(
                 node.settings().label(), view.ready() && node.store().unansweredMs() == 0));
-    node.settings().peers().forEach(p -> peers.send(p.address(), pulse.duplicate()));
+    node.settings()
+        .peers()
+        .forEach(
+            p -> {
+              peers.send(p.address(), pulse.duplicate());
+              peers.send(p.address(), PeerWire.encode(reactor.wall(), handover.frame(p.label())));
+            });
     if (node.acting()) {
       for (Master master : masters.values()) {
         if (master.isActive()) {
           PeerWire.Load load = master.load();
           loads.heard(load);
-          ByteBuffer frame = PeerWire.encode(load);
+          ByteBuffer frame = PeerWire.encode(reactor.wall(), load);
           node.settings().peers().forEach(p -> peers.send(p.address(), frame.duplicate()));
         }
       }
@@ -166,11 +185,18 @@
   /** A frame from another controller, without its length. */
   public void frame(ByteBuffer frame) {
     try {
-      PeerWire.Message message = PeerWire.decode(frame);
+      PeerWire.Frame read = PeerWire.decode(frame);
+      long age = Math.abs(reactor.wall() - read.sentWall());
+      if (age > node.reportMs(0.8) + 2 * node.settings().clockOffMs()) {
+        return; // held by a cut: what it says was so then
+      }
+      PeerWire.Message message = read.message();
       if (message instanceof PeerWire.Load load && !masters.containsKey(load.master())) {
         loads.heard(load);
       } else if (message instanceof PeerWire.Pulse pulse) {
         pulses.put(pulse.sender(), new Heard(reactor.now(), pulse.served()));
+      } else if (message instanceof PeerWire.SentOn sent) {
+        handover.heard(sent);
       }
     } catch (PeerWire.BadFrame e) {
       LOG.warn("peer frame refused: {}", e.getMessage());
@@ -303,6 +329,9 @@
     }
     View.Kept<Records.Master> holder = view.master(record.master());
     String to = holder == null ? null : holder.record().holder();
+    if (to != null) {
+      handover.sentOn(report.machine(), to);
+    }
     reply.accept(
         new Http.Response(
             421, WorkerWire.redirect(node.settings().label().equals(to) ? null : to)));
--- a/src/main/java/org/fieldtrestle/coordination/Gateway.java
+++ b/src/main/java/org/fieldtrestle/coordination/Gateway.java
@@ -237,7 +237,11 @@
               if (result instanceof Store.Committed committed) {
                 loads.taken(spec, taken);
                 node.view().committed(changes, committed.revision());
-                LOG.debug("job {} accepted in {} ranges", spec.id(), taken.size());
+                LOG.debug(
+                    "job {} of class {} accepted in {} ranges",
+                    spec.id(),
+                    spec.jobClass(),
+                    taken.size());
                 reply.accept(new Http.Response(201, UserWire.accepted(spec.id(), Stage.QUEUED)));
               } else if (result instanceof Store.Conflict conflict
                   && !conflict.keys().contains(Records.job(spec.id()))
--- a/src/main/java/org/fieldtrestle/coordination/Membership.java
+++ b/src/main/java/org/fieldtrestle/coordination/Membership.java
@@ -2,8 +2,10 @@
 
 import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.TreeSet;
 import org.fieldtrestle.bookkeeping.Records;
 import org.fieldtrestle.bookkeeping.Store;
@@ -31,6 +33,9 @@
     void ended(String master);
   }
 
+  /** How many of our leases a master that we gave away stays away. */
+  private static final int APART = 2;
+
   private final Reactor reactor;
   private final Store store;
   private final View view;
@@ -39,12 +44,16 @@
   private final long ttlMs;
   private final Map<String, Long> held = new HashMap<>();
   private final Map<String, Long> vacantSince = new HashMap<>();
+  private final Set<String> taking = new HashSet<>();
   private Listener listener;
   private long lease;
   private long leaseAt = Long.MIN_VALUE;
   private boolean registered;
   private boolean busy;
 
+  /** Until when our own master stays with whom we have given it to. */
+  private long apartUntil;
+
   public Membership(Reactor reactor, Store store, View view, Settings settings, String boot) {
     this.reactor = reactor;
     this.store = store;
@@ -211,9 +220,40 @@
         held.remove(k.master());
         listener.ended(k.master());
       }
+      View.Kept<Records.Master> now = view.master(k.master());
+      if (now != null
+          && now.record().holder().equals(self)
+          && !k.master().equals(self)
+          && !held.containsKey(k.master())
+          && acting()) {
+        take(k.master(), self, now.version()); // handed over to us
+      }
     }
   }
 
+  /**
+   * Gives a master to another controller, and ends acting as it before that is written: whoever
+   * takes it on by a new epoch then waits for nobody. Where the writing fails, it is taken again.
+   */
+  public void handOver(String master, String to) {
+    Long epoch = held.get(master);
+    if (epoch == null || view.version(Records.member(to)) == 0) {
+      return;
+    }
+    held.remove(master);
+    apartUntil = reactor.now() + ttlMs * APART;
+    listener.ended(master);
+    store.commit(
+        new Store.Txn(
+            List.of(
+                new StateWire.Condition(Records.master(master), epoch),
+                new StateWire.Condition(Records.member(to), view.version(Records.member(to)))),
+            List.of(
+                new StateWire.Put(
+                    Records.master(master), Records.write(new Records.Master(to)), 0))),
+        result -> LOG.info("handing master {} over to {}: {}", master, to, result));
+  }
+
   /** Takes masters whose holder has let its lease end, and our own back from whoever has it. */
   private void takeOver() {
     if (!acting()) {
@@ -225,16 +265,20 @@
         List.copyOf(view.masters().entrySet())) {
       String master = one.getKey();
       String holder = one.getValue().record().holder();
-      boolean own = master.equals(self) && !holder.equals(self);
-      if (held.containsKey(master) || (view.members().containsKey(holder) && !own)) {
+      if (held.containsKey(master)) {
         vacantSince.remove(master);
         continue;
       }
-      if (holder.equals(self) && !own) {
-        // Ours by an earlier life or an unanswered request; the own master is taken on registering.
+      if (holder.equals(self)) {
+        // Ours by an unanswered request, or given to us: nobody else would ever take it.
         take(master, holder, one.getValue().version());
         continue;
       }
+      boolean own = master.equals(self) && reactor.now() >= apartUntil;
+      if (view.members().containsKey(holder) && !own) {
+        vacantSince.remove(master);
+        continue;
+      }
       long since = vacantSince.computeIfAbsent(master, m -> reactor.now());
       if (own || reactor.now() - since >= order * ttlMs / 6) {
         take(master, holder, one.getValue().version());
@@ -243,6 +287,9 @@
   }
 
   private void take(String master, String holder, long version) {
+    if (!taking.add(master)) {
+      return;
+    }
     boolean othersMayAct = othersMayAct(master);
     List<StateWire.Condition> conditions = new ArrayList<>();
     conditions.add(new StateWire.Condition(Records.master(master), version));
@@ -258,6 +305,7 @@
     store.commit(
         new Store.Txn(conditions, changes),
         result -> {
+          taking.remove(master);
           if (result instanceof Store.Committed committed
               && view.version(Records.master(master)) <= committed.revision()) {
             begin(master, committed.revision(), othersMayAct);
--- a/src/main/java/org/fieldtrestle/protocol/PeerWire.java
+++ b/src/main/java/org/fieldtrestle/protocol/PeerWire.java
@@ -8,21 +8,25 @@
 
 /**
  * What controllers say to each other. A frame is a length (4 bytes, of what follows), a magic and
- * version (2 + 1), a kind (1) and a body. Nothing that a rule depends on travels here: a lost, late
- * or repeated frame costs time only.
+ * version (2 + 1), a kind (1), the sender's time of day (8) and a body. Nothing that a rule depends
+ * on travels here: a lost, late or repeated frame costs time only.
  */
 public final class PeerWire {
   public static final int MAX_FRAME = 16 * 1024;
   private static final short MAGIC = 0x4654;
-  private static final byte VERSION = 1;
+  private static final byte VERSION = 2;
   private static final byte LOAD = 1;
   private static final byte PULSE = 2;
+  private static final byte SENT_ON = 3;
   private static final int MAX_ITEMS = 64;
 
   private PeerWire() {}
 
   public sealed interface Message {}
 
+  /** A message and the sender's time of day: what a cut has held for long says nothing of now. */
+  public record Frame(long sentWall, Message message) {}
+
   /** Room of one kind in a zone at one master. */
   public record Room(String zone, double cpus, double gpus, double memoryGb) {}
 
@@ -42,6 +46,12 @@
   /** That a controller is there, and whether the state service answers it. */
   public record Pulse(String sender, boolean served) implements Message {}
 
+  /**
+   * How many machines have lately reported to the sender and been sent on to another controller:
+   * where that one hears nothing of them, it is cut off from its workers.
+   */
+  public record SentOn(String sender, String to, int machines) implements Message {}
+
   /** A frame that is not ours or was damaged. */
   public static final class BadFrame extends Exception {
     private static final long serialVersionUID = 1;
@@ -51,11 +61,11 @@
     }
   }
 
-  public static ByteBuffer encode(Message message) {
+  public static ByteBuffer encode(long wall, Message message) {
     ByteBuffer out = ByteBuffer.allocate(MAX_FRAME);
     out.putInt(0).putShort(MAGIC).put(VERSION);
     if (message instanceof Load load) {
-      out.put(LOAD);
+      out.put(LOAD).putLong(wall);
       putText(out, load.sender());
       putText(out, load.master());
       out.putLong(load.epoch()).putDouble(load.waitingCpus()).putDouble(load.capacityCpus());
@@ -67,10 +77,16 @@
       }
     }
     if (message instanceof Pulse pulse) {
-      out.put(PULSE);
+      out.put(PULSE).putLong(wall);
       putText(out, pulse.sender());
       out.put((byte) (pulse.served() ? 1 : 0));
     }
+    if (message instanceof SentOn sent) {
+      out.put(SENT_ON).putLong(wall);
+      putText(out, sent.sender());
+      putText(out, sent.to());
+      out.putInt(sent.machines());
+    }
     out.putInt(0, out.position() - 4);
     return out.flip();
   }
@@ -88,7 +104,7 @@
   }
 
   /** Reads the body of one frame, without its length. */
-  public static Message decode(ByteBuffer in) throws BadFrame {
+  public static Frame decode(ByteBuffer in) throws BadFrame {
     try {
       if (in.getShort() != MAGIC) {
         throw new BadFrame("magic");
@@ -98,16 +114,18 @@
         throw new BadFrame("version " + version);
       }
       byte kind = in.get();
+      long wall = in.getLong();
       Message message =
           switch (kind) {
             case LOAD -> readLoad(in);
             case PULSE -> new Pulse(getText(in), in.get() != 0);
+            case SENT_ON -> new SentOn(getText(in), getText(in), count(in));
             default -> throw new BadFrame("kind " + kind);
           };
       if (in.hasRemaining()) {
         throw new BadFrame("trailing bytes");
       }
-      return message;
+      return new Frame(wall, message);
     } catch (BufferUnderflowException e) {
       throw new BadFrame("short");
     }
@@ -130,6 +148,14 @@
     return new Load(sender, master, epoch, waiting, capacity, List.copyOf(rooms));
   }
 
+  private static int count(ByteBuffer in) throws BadFrame {
+    int value = in.getInt();
+    if (value < 0) {
+      throw new BadFrame("count " + value);
+    }
+    return value;
+  }
+
   private static double amount(ByteBuffer in) throws BadFrame {
     double value = in.getDouble();
     if (!Double.isFinite(value) || value < 0) {
--- a/src/test/java/org/fieldtrestle/protocol/WiresTest.java
+++ b/src/test/java/org/fieldtrestle/protocol/WiresTest.java
@@ -126,11 +126,11 @@
       all.add(new PeerWire.Room("zone-" + i, amount, i, amount / 2));
     }
     PeerWire.Load load = new PeerWire.Load(sender, "m", epoch, amount, amount * 2, all);
-    ByteBuffer frame = PeerWire.encode(load);
+    ByteBuffer frame = PeerWire.encode(epoch / 3, load);
     assertEquals(frame.remaining() - 4, frame.getInt());
     byte[] body = new byte[frame.remaining()];
     frame.get(body);
-    assertEquals(load, PeerWire.decode(ByteBuffer.wrap(body)));
+    assertEquals(new PeerWire.Frame(epoch / 3, load), PeerWire.decode(ByteBuffer.wrap(body)));
     for (int cut = 0; cut < body.length; cut++) {
       ByteBuffer shorter = ByteBuffer.wrap(body, 0, cut);
       assertThrows(PeerWire.BadFrame.class, () -> PeerWire.decode(shorter));
@@ -138,13 +138,20 @@
   }
 
   @Test
-  void aPulseIsReadAsItWasSent() throws PeerWire.BadFrame {
-    for (boolean served : new boolean[] {true, false}) {
-      PeerWire.Pulse pulse = new PeerWire.Pulse("trestle-2", served);
-      ByteBuffer frame = PeerWire.encode(pulse);
+  void smallFramesAreReadAsTheyWereSent() throws PeerWire.BadFrame {
+    for (PeerWire.Message message :
+        List.of(
+            new PeerWire.Pulse("trestle-2", true),
+            new PeerWire.Pulse("trestle-2", false),
+            new PeerWire.SentOn("trestle-2", "trestle-0", 0),
+            new PeerWire.SentOn("trestle-2", "trestle-0", 2078))) {
+      ByteBuffer frame = PeerWire.encode(17, message);
       assertEquals(frame.remaining() - 4, frame.getInt());
-      assertEquals(pulse, PeerWire.decode(frame));
+      assertEquals(new PeerWire.Frame(17, message), PeerWire.decode(frame));
     }
+    ByteBuffer wrong = PeerWire.encode(17, new PeerWire.SentOn("trestle-2", "trestle-0", -1));
+    wrong.getInt();
+    assertThrows(PeerWire.BadFrame.class, () -> PeerWire.decode(wrong));
   }
 
   @Property(tries = 200, seed = "43")
--- a/src/test/java/org/fieldtrestle/rehearsal/TroublesTest.java
+++ b/src/test/java/org/fieldtrestle/rehearsal/TroublesTest.java
@@ -289,4 +289,37 @@
     assertQuiet(scene);
     assertEquals(rented, scene.cloud.rentedEver(), "the machines are as good as before");
   }
+
+  @Test
+  void aControllerCutOffFromItsWorkersHandsItsMachinesOver() {
+    for (String label : List.of("trestle-0", "trestle-1", "trestle-2")) {
+      Scene scene = new Scene(new SplittableRandom(29), 12, 6000, 34_000, 64_000);
+      submit(scene, "job-1", 48, 300_000);
+      scene.world.runUntil(60_000);
+      int starts = scene.rules.starts;
+      scene.trouble(50_000);
+      scene.lose(label, 50_000, "workers");
+      scene.world.runUntil(150_000);
+      assertQuiet(scene);
+      assertEquals(starts, scene.rules.starts, "no lease ran out while " + label + " was cut off");
+    }
+  }
+
+  @Test
+  void aMasterTakenWithoutAnAnswerIsNotLeftToNobody() {
+    for (long seed = 1; seed <= 6; seed++) {
+      Scene scene = new Scene(new SplittableRandom(seed), 12);
+      for (int i = 0; i < 5; i++) {
+        submit(scene, "job-" + i, 10, 20_000);
+      }
+      scene.world.runUntil(25_000);
+      scene.trouble(60_000);
+      scene.kill("trestle-0", 400_000);
+      scene.world.after(20_000, () -> scene.net.lost = 0.7); // and with it answers to who takes it
+      scene.world.after(40_000, () -> scene.net.lost = 0);
+      scene.world.runUntil(300_000);
+      assertQuiet(scene);
+      assertDone(scene, "job-0", "job-1", "job-2", "job-3", "job-4");
+    }
+  }
 }
