Masters of a controller out of reach are taken; a restart rents no second fleet

Whoever its workers ask again after being sent on to it, while nothing is heard of it for three reports, takes its masters now: safe at any time, as for a controller that takes back its own.

After a restart, a taking or a handing back all inherited work was counted as just arrived, and what ran on machines not yet heard of as waiting: 202 machines rented for a dozen small tasks in simulated time (whatRunsAlreadyIsNoNewWorkAfterARestart).

--- a/src/main/java/org/fieldtrestle/bookkeeping/View.java
+++ b/src/main/java/org/fieldtrestle/bookkeeping/View.java
@@ -167,6 +167,27 @@
     return masters;
   }
 
+  /** The masters that a controller acts as. */
+  public List<String> mastersOf(String holder) {
+    List<String> all = new ArrayList<>();
+    masters.forEach(
+        (name, kept) -> {
+          if (kept.record().holder().equals(holder)) {
+            all.add(name);
+          }
+        });
+    return all;
+  }
+
+  /** How many machines a master has. */
+  public int machinesOf(String master) {
+    int count = 0;
+    for (Map.Entry<Records.RosterKey, Map<String, Records.Machine>> part : rosters.entrySet()) {
+      count += part.getKey().master().equals(master) ? part.getValue().size() : 0;
+    }
+    return count;
+  }
+
   public Map<String, Kept<Records.Member>> members() {
     return members;
   }
--- a/src/main/java/org/fieldtrestle/coordination/Controller.java
+++ b/src/main/java/org/fieldtrestle/coordination/Controller.java
@@ -144,6 +144,7 @@
     masters.values().forEach(master -> master.tell(new Master.Tick()));
     finishComplete();
     handOver();
+    takeFromUnreachable();
     reactor.schedule(node.reportMs(0.2), this::tick);
   }
 
@@ -156,6 +157,25 @@
     }
   }
 
+  /** Whose workers ask us, while nothing is heard of it itself, had better not keep its masters. */
+  private void takeFromUnreachable() {
+    if (!node.acting()) {
+      return;
+    }
+    for (Map.Entry<String, Heard> one : pulses.entrySet()) {
+      long silentMs = reactor.now() - one.getValue().at();
+      if (fresh(one.getValue()) || !view.members().containsKey(one.getKey())) {
+        continue;
+      }
+      for (String master : view.mastersOf(one.getKey())) {
+        if (handover.unreachable(one.getKey(), silentMs, view.machinesOf(master))) {
+          LOG.warn("{} is out of reach of its workers and of us", one.getKey());
+          node.membership().takeFrom(master);
+        }
+      }
+    }
+  }
+
   private void gossip() {
     ByteBuffer pulse =
         PeerWire.encode(
--- a/src/main/java/org/fieldtrestle/coordination/Fleet.java
+++ b/src/main/java/org/fieldtrestle/coordination/Fleet.java
@@ -25,6 +25,9 @@
   /** How much of the usual flow of work is rented for beside what waits. */
   private static final double FLOW_COUNTED = 0.5;
 
+  /** Time in which what is remembered of the flow of work fades to a third. */
+  private static final double FADES_S = 150;
+
   private final Master master;
   private final Node node;
   private final Faults faults;
@@ -56,9 +59,19 @@
     listedAt = node.now();
   }
 
-  /** Work has come in. */
+  /**
+   * Work has come in. What was there before this epoch came in as long ago as it was accepted:
+   * counted as if all of it had come at once, every restart and every change of hands rented for a
+   * flow of work that there never was.
+   */
   void arrived(OwnedRange range) {
-    if (range.spec != null) {
+    if (range.spec == null) {
+      return;
+    }
+    if (range.inherited) {
+      double agoS = (node.now() - range.waitingSince) / 1000.0;
+      load += machineSeconds(range.spec, range.record.size()) * Math.exp(-agoS / FADES_S) / FADES_S;
+    } else {
       arrivedWork += machineSeconds(range.spec, range.waiting());
     }
   }
@@ -378,7 +391,7 @@
     if (seconds <= 0) {
       return;
     }
-    double fade = Math.exp(-seconds / 150);
+    double fade = Math.exp(-seconds / FADES_S);
     load = load * fade + arrivedWork / seconds * (1 - fade);
     arrivedWork = 0;
     loadAt = now;
@@ -407,7 +420,12 @@
     }
     List<Need> needs = new ArrayList<>();
     for (OwnedRange range : master.ranges().all()) {
-      if (range.spec != null && !range.ended && range.waiting() > 0) {
+      // While a machine has not been heard of, what waits of an inherited range may be there, and
+      // none of it may start anyway: else every restart rented a second fleet.
+      if (range.spec != null
+          && !range.ended
+          && range.waiting() > 0
+          && !master.ranges().blocked(range)) {
         MachineType type = typeFor(range.spec);
         if (type != null) {
           needs.add(need(range, type, now));
--- a/src/main/java/org/fieldtrestle/coordination/Handover.java
+++ b/src/main/java/org/fieldtrestle/coordination/Handover.java
@@ -1,5 +1,6 @@
 package org.fieldtrestle.coordination;
 
+import java.util.Collection;
 import java.util.HashMap;
 import java.util.Map;
 import org.fieldtrestle.protocol.PeerWire;
@@ -17,6 +18,12 @@
   /** How long what others tell counts, in reports. */
   private static final double LATELY = 4;
 
+  /**
+   * Reports that go by before a controller of which nothing is heard counts as out of reach: one
+   * that only starts anew is back before, and does better to go on as itself.
+   */
+  private static final double GONE = 3;
+
   /** Share of our machines that have to be unheard, and that others have to have sent on to us. */
   private static final double UNHEARD_SHARE = 0.9;
 
@@ -24,10 +31,13 @@
 
   private record Told(long at, int machines) {}
 
+  /** A machine that was sent on, when last, and how often one after the other. */
+  private record Sent(long at, int times) {}
+
   private final Node node;
 
   /** Machines that we have sent on, by the controller that they were sent to, and when last. */
-  private final Map<String, Map<String, Long>> sentOn = new HashMap<>();
+  private final Map<String, Map<String, Sent>> sentOn = new HashMap<>();
 
   /** What the others have told of machines that they have sent on to us. */
   private final Map<String, Told> told = new HashMap<>();
@@ -37,15 +47,27 @@
   }
 
   void sentOn(String machine, String to) {
-    sentOn.computeIfAbsent(to, t -> new HashMap<>()).put(machine, node.now());
+    sentOn
+        .computeIfAbsent(to, t -> new HashMap<>())
+        .merge(
+            machine,
+            new Sent(node.now(), 1),
+            (before, now) -> new Sent(now.at(), recent(before) ? before.times() + 1 : 1));
+  }
+
+  private boolean recent(Sent sent) {
+    return node.now() - sent.at() <= node.reportMs(LATELY);
+  }
+
+  private Collection<Sent> sentTo(String to) {
+    Collection<Sent> machines = sentOn.getOrDefault(to, new HashMap<>()).values();
+    machines.removeIf(sent -> !recent(sent));
+    return machines;
   }
 
   /** How many machines were lately sent on to a controller. */
   PeerWire.SentOn frame(String to) {
-    Map<String, Long> machines = sentOn.getOrDefault(to, new HashMap<>());
-    long since = node.now() - node.reportMs(LATELY);
-    machines.values().removeIf(at -> at < since);
-    return new PeerWire.SentOn(node.settings().label(), to, machines.size());
+    return new PeerWire.SentOn(node.settings().label(), to, sentTo(to).size());
   }
 
   void heard(PeerWire.SentOn frame) {
@@ -54,6 +76,20 @@
     }
   }
 
+  /**
+   * Whether a controller's workers ask us, and ask again after they were sent on to it, though
+   * nothing is heard of it for long. Being sent on once tells nothing: so is every machine whose
+   * master has changed hands, and where controllers only do not hear each other, they would take
+   * from each other for as long as that lasts.
+   */
+  boolean unreachable(String controller, long silentMs, int machines) {
+    if (silentMs <= node.reportMs(GONE)) {
+      return false;
+    }
+    long again = sentTo(controller).stream().filter(sent -> sent.times() > 1).count();
+    return again >= Math.max(1, machines * SENT_ON_SHARE / 2);
+  }
+
   /** Who should rather hold our masters: the one that most of our workers ask; null for nobody. */
   String better(Iterable<Master> masters) {
     long now = node.now();
--- a/src/main/java/org/fieldtrestle/coordination/Membership.java
+++ b/src/main/java/org/fieldtrestle/coordination/Membership.java
@@ -45,6 +45,10 @@
   private final Map<String, Long> held = new HashMap<>();
   private final Map<String, Long> vacantSince = new HashMap<>();
   private final Set<String> taking = new HashSet<>();
+
+  /** When a master last changed hands. */
+  private final Map<String, Long> changedAt = new HashMap<>();
+
   private Listener listener;
   private long lease;
   private long leaseAt = Long.MIN_VALUE;
@@ -214,10 +218,15 @@
 
   private void changed(Records.Key key) {
     if (key instanceof Records.MasterKey k) {
+      changedAt.put(k.master(), reactor.now());
       Long epoch = held.get(k.master());
       if (epoch != null && view.version(Records.master(k.master())) != epoch) {
         LOG.warn("no longer acting as master {}: another has taken it", k.master());
         held.remove(k.master());
+        if (k.master().equals(self) && acting()) {
+          // Whoever took it while our lease holds had its reasons: our workers did not reach us.
+          apartUntil = reactor.now() + ttlMs * APART;
+        }
         listener.ended(k.master());
       }
       View.Kept<Records.Master> now = view.master(k.master());
@@ -231,6 +240,19 @@
     }
   }
 
+  /**
+   * Takes a master whose holder may still act as it, as for a while after the taking; but not where
+   * it has changed hands only lately.
+   */
+  public void takeFrom(String master) {
+    View.Kept<Records.Master> kept = view.master(master);
+    if (kept != null
+        && !held.containsKey(master)
+        && reactor.now() - changedAt.getOrDefault(master, 0L) > ttlMs) {
+      take(master, kept.record().holder(), kept.version());
+    }
+  }
+
   /**
    * Gives a master to another controller, and ends acting as it before that is written: whoever
    * takes it on by a new epoch then waits for nobody. Where the writing fails, it is taken again.
--- a/src/test/java/org/fieldtrestle/rehearsal/StateStandIn.java
+++ b/src/test/java/org/fieldtrestle/rehearsal/StateStandIn.java
@@ -59,6 +59,14 @@
   }
 
   /** The machines that any master counts as its own. */
+  /** When each master last changed hands, as revisions. */
+  List<Long> masterVersions() {
+    return keys.entrySet().stream()
+        .filter(one -> one.getKey().startsWith("ft/live/master/"))
+        .map(one -> one.getValue().version())
+        .toList();
+  }
+
   List<String> rosters() {
     List<String> machines = new ArrayList<>();
     keys.forEach(
--- a/src/test/java/org/fieldtrestle/rehearsal/TroublesTest.java
+++ b/src/test/java/org/fieldtrestle/rehearsal/TroublesTest.java
@@ -322,4 +322,53 @@
       assertDone(scene, "job-0", "job-1", "job-2", "job-3", "job-4");
     }
   }
+
+  @Test
+  void theMachinesOfAControllerOutOfReachAreTakenBeforeTheirLeasesRunOut() {
+    for (String label : List.of("trestle-0", "trestle-1", "trestle-2")) {
+      Scene scene = new Scene(new SplittableRandom(31), 12, 4000, 22_000, 52_000);
+      submit(scene, "job-1", 48, 300_000);
+      scene.world.runUntil(60_000);
+      int starts = scene.rules.starts;
+      scene.trouble(40_000);
+      scene.freeze(label, 28_000);
+      scene.world.runUntil(150_000);
+      assertQuiet(scene);
+      assertEquals(starts, scene.rules.starts, "no lease ran out while " + label + " stood still");
+    }
+  }
+
+  @Test
+  void controllersThatDoNotHearEachOtherTakeNothingFromEachOther() {
+    Scene scene = new Scene(new SplittableRandom(37), 12, 4000, 22_000, 52_000);
+    submit(scene, "job-1", 48, 300_000);
+    scene.world.runUntil(60_000);
+    // Machines are just being sent on to who has them, as after a master has changed hands.
+    scene.trouble(60_000);
+    scene.kill("trestle-1", 35_000);
+    scene.world.runUntil(98_000);
+    scene.labels().forEach(label -> scene.lose(label, 40_000, "peers"));
+    scene.world.runUntil(105_000);
+    List<Long> before = scene.state.masterVersions();
+    scene.world.runUntil(140_000);
+    assertQuiet(scene);
+    assertEquals(before, scene.state.masterVersions(), "no master changes hands");
+  }
+
+  @Test
+  void whatRunsAlreadyIsNoNewWorkAfterARestart() {
+    Scene scene = scene(100);
+    submit(scene, "job-1", 192, 100_000);
+    scene.world.runUntil(70_000);
+    int rented = scene.cloud.rentedEver();
+    scene.labels().forEach(label -> scene.kill(label, 500));
+    for (int i = 2; i < 8; i++) {
+      int number = i;
+      scene.world.after(i * 3000L, () -> submit(scene, "job-" + number, 2, 20_000));
+    }
+    scene.world.runUntil(110_000);
+    assertQuiet(scene);
+    int more = scene.cloud.rentedEver() - rented;
+    assertTrue(more <= rented / 2, "not a second fleet: " + more + " beside " + rented);
+  }
 }
