A confirmed cancellation is told to the other controllers, so that tasks stop sooner

Cause: a controller that the state service refuses alone goes on starting and renewing what was cancelled elsewhere until its fence ends that. A hint: lost frames cost time, and nothing waits for it.

--- a/src/main/java/org/fieldtrestle/coordination/Controller.java
+++ b/src/main/java/org/fieldtrestle/coordination/Controller.java
@@ -77,6 +77,7 @@
             cloud,
             membership,
             loads,
+            Caffeine.newBuilder().maximumSize(10_000).executor(Runnable::run).build(),
             new Stats());
     this.handover = new Handover(node);
     this.gateway =
@@ -93,6 +94,11 @@
               public boolean anyHeard() {
                 return pulses.values().stream().anyMatch(p -> fresh(p));
               }
+
+              @Override
+              public void cancelled(String job) {
+                sayCancelled(job);
+              }
             });
   }
 
@@ -206,6 +212,11 @@
   public void frame(ByteBuffer frame) {
     try {
       PeerWire.Frame read = PeerWire.decode(frame);
+      if (read.message() instanceof PeerWire.Cancelled cancelled) { // final, and true at any age
+        node.calledOff().put(cancelled.job(), true);
+        masters.values().forEach(master -> master.tell(new Master.CalledOff(cancelled.job())));
+        return;
+      }
       long age = Math.abs(reactor.wall() - read.sentWall());
       if (age > node.reportMs(0.8) + 2 * node.settings().clockOffMs()) {
         return; // held by a cut: what it says was so then
@@ -223,6 +234,16 @@
     }
   }
 
+  /**
+   * A hint that makes tasks stop sooner where the state service does not answer whoever runs them.
+   * The fence holds without it.
+   */
+  private void sayCancelled(String job) {
+    ByteBuffer frame =
+        PeerWire.encode(reactor.wall(), new PeerWire.Cancelled(node.settings().label(), job));
+    node.settings().peers().forEach(p -> peers.send(p.address(), frame.duplicate()));
+  }
+
   private int running(String job) {
     int sum = 0;
     for (Master master : masters.values()) {
--- a/src/main/java/org/fieldtrestle/coordination/Gateway.java
+++ b/src/main/java/org/fieldtrestle/coordination/Gateway.java
@@ -64,6 +64,9 @@
 
     /** Whether we hear of any at all. */
     boolean anyHeard();
+
+    /** A job is cancelled for good. */
+    void cancelled(String job);
   }
 
   public Gateway(Node node, Running running, Peers peers) {
@@ -400,6 +403,7 @@
                 ended.put(id, cancelled);
                 node.view().committed(changes, committed.revision());
                 LOG.info("job {} cancelled", id);
+                peers.cancelled(id);
                 reply.accept(finalAnswer(id, cancelled, true));
               } else if (result instanceof Store.Conflict conflict && tries > 0) {
                 node.view()
--- a/src/main/java/org/fieldtrestle/coordination/Machines.java
+++ b/src/main/java/org/fieldtrestle/coordination/Machines.java
@@ -438,7 +438,7 @@
     task.found = true;
     host.put(task);
     range.place(offset, task);
-    if (range.ended) {
+    if (range.over()) {
       stop(task, 0);
     }
     return task;
--- a/src/main/java/org/fieldtrestle/coordination/Master.java
+++ b/src/main/java/org/fieldtrestle/coordination/Master.java
@@ -43,6 +43,9 @@
   /** A key that it may care for has changed. */
   public record Changed(Records.Key key) implements Message {}
 
+  /** A job is cancelled, as another controller says. */
+  public record CalledOff(String job) implements Message {}
+
   /** Time has passed. */
   public record Tick() implements Message {}
 
@@ -114,6 +117,8 @@
       reported(reported.report(), reported.reply());
     } else if (message instanceof Changed changed) {
       changed(changed.key());
+    } else if (message instanceof CalledOff calledOff) {
+      ranges.calledOff(calledOff.job());
     } else if (message instanceof Tick) {
       tick();
     } else if (message instanceof Ended) {
--- a/src/main/java/org/fieldtrestle/coordination/Node.java
+++ b/src/main/java/org/fieldtrestle/coordination/Node.java
@@ -1,5 +1,6 @@
 package org.fieldtrestle.coordination;
 
+import com.github.benmanes.caffeine.cache.Cache;
 import java.util.List;
 import java.util.random.RandomGenerator;
 import org.fieldtrestle.bookkeeping.Store;
@@ -10,7 +11,11 @@
 import org.fieldtrestle.transport.Http;
 import org.fieldtrestle.transport.Reactor;
 
-/** What all actors of one controller share. */
+/**
+ * What all actors of one controller share.
+ *
+ * @param calledOff jobs of which another controller has said that they are cancelled
+ */
 public record Node(
     Settings settings,
     Tuning tuning,
@@ -22,6 +27,7 @@
     Cloud cloud,
     Membership membership,
     Loads loads,
+    Cache<String, Boolean> calledOff,
     Stats stats) {
 
   /** A task may evict once this part of the time in which it is to start has gone by. */
--- a/src/main/java/org/fieldtrestle/coordination/OwnedRange.java
+++ b/src/main/java/org/fieldtrestle/coordination/OwnedRange.java
@@ -30,6 +30,9 @@
   /** True once the job is known to have ended while this range still has to be wound up. */
   boolean ended;
 
+  /** Another controller has said that the job is cancelled, which is not followed here yet. */
+  boolean calledOff;
+
   /** Was there before this epoch began, so that its tasks may be on machines not heard of yet. */
   final boolean inherited;
 
@@ -72,6 +75,11 @@
     fresh.andNot(record.done());
   }
 
+  /** Nothing of it is to be started any more. */
+  boolean over() {
+    return ended || calledOff;
+  }
+
   boolean has(int taskIndex) {
     return taskIndex >= record.from() && taskIndex < record.to();
   }
--- a/src/main/java/org/fieldtrestle/coordination/Placement.java
+++ b/src/main/java/org/fieldtrestle/coordination/Placement.java
@@ -193,7 +193,7 @@
   private List<Falcon.Waiting<Group>> waiting(long now) {
     List<Falcon.Waiting<Group>> groups = new ArrayList<>();
     for (OwnedRange range : ranges.all()) {
-      if (range.spec == null || range.ended || ranges.blocked(range)) {
+      if (range.spec == null || range.over() || ranges.blocked(range)) {
         continue;
       }
       JobSpec spec = range.spec;
--- a/src/main/java/org/fieldtrestle/coordination/Ranges.java
+++ b/src/main/java/org/fieldtrestle/coordination/Ranges.java
@@ -63,7 +63,7 @@
   double waitingCpus() {
     double waiting = 0;
     for (OwnedRange range : ranges.values()) {
-      if (!range.ended) {
+      if (!range.over()) {
         waiting += range.waiting() * range.record.cpus();
       }
     }
@@ -97,6 +97,7 @@
               kept.version(),
               kept.record().epoch() < master.epoch,
               node.now() - age);
+      range.calledOff = node.calledOff().getIfPresent(key.job()) != null;
       ranges.put(key, range);
       byJob.computeIfAbsent(key.job(), j -> new ArrayList<>()).add(range);
       refreshJob(range);
@@ -174,6 +175,20 @@
     }
   }
 
+  /**
+   * Another controller has told a user that a job is cancelled. That is final, so that nothing of
+   * it is started any more and what runs is stopped, though the state service may not have told us.
+   */
+  void calledOff(String job) {
+    for (OwnedRange range : ofJob(job)) {
+      range.calledOff = true;
+      for (Placed task : List.copyOf(range.placed.values())) {
+        master.stop(task, 0);
+      }
+    }
+    master.sendDirect();
+  }
+
   void refreshAll() {
     for (OwnedRange range : List.copyOf(ranges.values())) {
       refreshJob(range);
--- a/src/main/java/org/fieldtrestle/coordination/Rehand.java
+++ b/src/main/java/org/fieldtrestle/coordination/Rehand.java
@@ -54,7 +54,7 @@
   /** How many tasks at the end of the range have never been anywhere. */
   private int tail(OwnedRange range) {
     if (range.spec == null
-        || range.ended
+        || range.over()
         || range.writing
         || master.ranges().blocked(range)
         || !range.record.caps().isEmpty()
--- a/src/main/java/org/fieldtrestle/protocol/PeerWire.java
+++ b/src/main/java/org/fieldtrestle/protocol/PeerWire.java
@@ -18,6 +18,7 @@
   private static final byte LOAD = 1;
   private static final byte PULSE = 2;
   private static final byte SENT_ON = 3;
+  private static final byte CANCELLED = 4;
   private static final int MAX_ITEMS = 64;
 
   private PeerWire() {}
@@ -52,6 +53,9 @@
    */
   public record SentOn(String sender, String to, int machines) implements Message {}
 
+  /** That a job is cancelled for good, once that is durable. */
+  public record Cancelled(String sender, String job) implements Message {}
+
   /** A frame that is not ours or was damaged. */
   public static final class BadFrame extends Exception {
     private static final long serialVersionUID = 1;
@@ -87,6 +91,11 @@
       putText(out, sent.to());
       out.putInt(sent.machines());
     }
+    if (message instanceof Cancelled cancelled) {
+      out.put(CANCELLED).putLong(wall);
+      putText(out, cancelled.sender());
+      putText(out, cancelled.job());
+    }
     out.putInt(0, out.position() - 4);
     return out.flip();
   }
@@ -120,6 +129,7 @@
             case LOAD -> readLoad(in);
             case PULSE -> new Pulse(getText(in), in.get() != 0);
             case SENT_ON -> new SentOn(getText(in), getText(in), count(in));
+            case CANCELLED -> new Cancelled(getText(in), getText(in));
             default -> throw new BadFrame("kind " + kind);
           };
       if (in.hasRemaining()) {
--- a/src/test/java/org/fieldtrestle/protocol/WiresTest.java
+++ b/src/test/java/org/fieldtrestle/protocol/WiresTest.java
@@ -143,6 +143,7 @@
         List.of(
             new PeerWire.Pulse("trestle-2", true),
             new PeerWire.Pulse("trestle-2", false),
+            new PeerWire.Cancelled("trestle-2", "job-000412"),
             new PeerWire.SentOn("trestle-2", "trestle-0", 0),
             new PeerWire.SentOn("trestle-2", "trestle-0", 2078))) {
       ByteBuffer frame = PeerWire.encode(17, message);
