Shares of a team's limit that lie idle go to masters whose tasks wait

Cause: a master without work kept a sixth of its team's limit, and rests too small for a task were kept by each master, so that tasks waited for ever while their team was under its limit (aTeamIsAtItsLimitWhenTheLeaderChangesAndAJobOfItIsCancelled: 36 of 40 CPUs used).

--- a/src/main/java/org/fieldtrestle/coordination/Shares.java
+++ b/src/main/java/org/fieldtrestle/coordination/Shares.java
@@ -100,10 +100,13 @@
     double[] mine = shares.getOrDefault(master.name, new double[2]);
     double[] used = used(team.name());
     double[] need = used.clone();
+    double[] least = {Double.MAX_VALUE, Double.MAX_VALUE};
     for (OwnedRange range : master.ranges().all()) {
-      if (!range.ended && range.record.team().equals(team.name())) {
+      if (!range.over() && range.record.team().equals(team.name()) && range.waiting() > 0) {
         need[0] += range.waiting() * range.record.cpus();
         need[1] += range.waiting() * range.record.gpus();
+        least[0] = Math.min(least[0], range.record.cpus());
+        least[1] = Math.min(least[1], range.record.gpus());
       }
     }
     double masters = node.settings().peers().size() + 1;
@@ -118,9 +121,15 @@
           others += share.getValue()[i];
         }
       }
-      // Half of an even part is kept even when idle, so that new work need not wait for a write.
+      double most = Math.max(0, limit[i] - others);
+      // Half of an even part is kept even when idle, so that new work need not wait for a write;
+      // but not where others have nearly all the rest: they may lack it.
       double floor = limit[i] / masters / 2;
-      double wish = Math.min(Math.max(need[i], floor), Math.max(0, limit[i] - others));
+      double wish = Math.min(Math.max(need[i], most < 2 * floor ? 0 : floor), most);
+      if (wish < need[i] && wish - used[i] < least[i] - SLACK) {
+        // Too little for any task that waits here, but several such rests are enough for one.
+        wish = Math.min(used[i], most);
+      }
       want[i] = Math.max(wish, Math.min(mine[i], used[i]));
       grows |= want[i] > mine[i] + SLACK;
       shrinks |= want[i] < mine[i] - SLACK;
