--- a/src/test/java/org/fieldtrestle/rehearsal/StateStandIn.java
+++ b/src/test/java/org/fieldtrestle/rehearsal/StateStandIn.java
@@ -32,6 +32,12 @@
   private long forgotten;
   private long outageUntil;
 
+  /** Share of transactions that get no answer and are carried out later, after newer ones. */
+  double lateWrites;
+
+  private int lateCommitted;
+  private int lateRefused;
+
   StateStandIn(World world) {
     this.world = world;
     sweep();
@@ -58,7 +64,22 @@
     wake();
   }
 
-  /** The machines that any master counts as its own. */
+  /** How many transactions were carried out late, and had their conditions met all the same. */
+  int lateCommitted() {
+    return lateCommitted;
+  }
+
+  /** How many came late and failed by their conditions. */
+  int lateRefused() {
+    return lateRefused;
+  }
+
+  /** How a job ended, by its durable record; empty where it has not. */
+  String finalOf(String job) {
+    Kept kept = keys.get("ft/final/" + job);
+    return kept == null ? "" : kept.value().toString();
+  }
+
   /** When each master last changed hands, as revisions. */
   List<Long> masterVersions() {
     return keys.entrySet().stream()
@@ -67,6 +88,7 @@
         .toList();
   }
 
+  /** The machines that any master counts as its own. */
   List<String> rosters() {
     List<String> machines = new ArrayList<>();
     keys.forEach(
@@ -133,7 +155,11 @@
     JsonNode body = Json.parseOrEmpty(request.body());
     String path = request.path();
     if (path.equals("/commit")) {
-      reply.accept(commit(body));
+      if (lateWrites > 0 && !body.path("apply").isEmpty() && world.chance(lateWrites)) {
+        carryOutLate(body);
+      } else {
+        reply.accept(commit(body));
+      }
     } else if (path.equals("/leases")) {
       leases.put(++lastLease, world.now() + body.path("lifeMs").asLong());
       ttls.put(lastLease, body.path("lifeMs").asLong());
@@ -165,6 +191,20 @@
     }
   }
 
+  private void carryOutLate(JsonNode body) {
+    world.after(
+        world.between(2000, 12_000),
+        () -> {
+          if (down()) {
+            carryOutLate(body);
+          } else if (commit(body).status() == 200) {
+            lateCommitted++;
+          } else {
+            lateRefused++;
+          }
+        });
+  }
+
   private Http.Response commit(JsonNode body) {
     for (JsonNode op : body.path("apply")) {
       if (op.has("permit") && !leases.containsKey(op.path("permit").asLong())) {
