A known red test: tasks wait beside room that is kept for classes that hurry

Found by a test of late commands under overload: a job waits over 90 s while a machine has room that the reserve keeps for urgent classes.

--- a/src/test/java/org/fieldtrestle/rehearsal/TroublesTest.java
+++ b/src/test/java/org/fieldtrestle/rehearsal/TroublesTest.java
@@ -434,4 +434,24 @@
     }
     return count;
   }
+
+  /** Users count room as room, whatever it is kept for. */
+  @Test
+  void nothingWaitsForLongBesideRoomThatIsKeptForTheUrgent() {
+    Scene scene = new Scene(new SplittableRandom(1), 4, 2500, 16_000, 46_000);
+    submit(scene, "job-1", 16, 120_000);
+    scene.world.runUntil(25_000);
+    for (int i = 0; i < 6; i++) {
+      scene.net.lateCommands = 0.7; // so that more has to be placed again
+      submit(scene, "job-" + (10 + i), 8, 90_000);
+      scene.world.runUntil(scene.world.now() + 9000);
+      for (int urgent = 0; urgent < 6; urgent++) {
+        submit(scene, "job-" + (100 + 10 * i + urgent), 4, 2500);
+      }
+      scene.world.runUntil(scene.world.now() + 12_000);
+    }
+    scene.net.lateCommands = 0;
+    scene.world.runUntil(600_000);
+    assertQuiet(scene);
+  }
 }
