--- a/src/main/java/org/fieldtrestle/bookkeeping/Store.java
+++ b/src/main/java/org/fieldtrestle/bookkeeping/Store.java
@@ -34,7 +34,7 @@
   public record Txn(List<StateWire.Condition> conditions, List<StateWire.Change> changes) {}
 
   /** Share of our requests that single reads, which users' questions cause, may take. */
-  private static final double READS = 0.25;
+  private static final double READS = 0.5;
 
   /** Requests waiting for their turn; more are refused, so that the stage before holds back. */
   private static final int WAITING = 64;
--- a/src/test/java/org/fieldtrestle/rehearsal/Scene.java
+++ b/src/test/java/org/fieldtrestle/rehearsal/Scene.java
@@ -92,6 +92,9 @@
   /** Share of jobs that their users call off at the moment at which their last task is done. */
   double cancelAtEnd;
 
+  /** What the controllers' settings say of the state service; for those that start after it. */
+  double stateRps = 200;
+
   /** How many times longer images take than usual. */
   int slowLinks = 1;
 
@@ -168,7 +171,7 @@
         List.of(new Settings.Team("limited", 16, 40, 0, 0), new Settings.Team("open", 16, 0, 0, 0)),
         List.of(new Settings.Objective("wait", "rush", 0.9, 1, 5)),
         new Settings.Workers(reportMs / 1000.0, leaseMs / 1000.0, cancelMs / 1000.0),
-        new Settings.State(200, 40, 8, 32),
+        new Settings.State(stateRps, 40, 8, 32),
         new Settings.Cloud(3, 6),
         new Settings.Limits(0.2, 263, 1800));
   }
--- a/src/test/java/org/fieldtrestle/rehearsal/TroublesTest.java
+++ b/src/test/java/org/fieldtrestle/rehearsal/TroublesTest.java
@@ -403,6 +403,27 @@
     }
   }
 
+  /** With a quarter of the requests for single reads, jobs were forgotten here. */
+  @Test
+  void aStormOfQuestionsAfterARestartForgetsNoJob() {
+    Scene scene = new Scene(new SplittableRandom(5), 40, 6000, 34_000, 64_000);
+    for (int i = 0; i < 250; i++) {
+      int number = i;
+      scene.world.after(i * 300, () -> submit(scene, "job-" + number, 1, 2500));
+    }
+    scene.world.runUntil(200_000);
+    scene.stateRps = 70;
+    scene.labels().forEach(label -> scene.kill(label, 300)); // who forget how jobs ended
+    scene.world.runUntil(206_000);
+    for (int i = 0; i < 10_000; i++) {
+      String unknown = "job-" + (1_000_000 + i);
+      scene.world.after(i * 10L, () -> scene.ask(unknown));
+    }
+    scene.world.runUntil(320_000);
+    assertQuiet(scene);
+    assertEquals(250, scene.rules.done);
+  }
+
   @Test
   void lostTasksGoToAMasterThatHasRoom() {
     Scene scene = scene(9);
