--- a/src/test/java/org/fieldtrestle/rehearsal/Rules.java
+++ b/src/test/java/org/fieldtrestle/rehearsal/Rules.java
@@ -68,6 +68,11 @@
     return startsOn.getOrDefault(machine, 0);
   }
 
+  /** How long ago a job was submitted, troubles aside. */
+  private long calmSinceSubmission(Scene.Job job) {
+    return world.now() - job.submittedAt - (troubledMs - job.troubledBeforeMs);
+  }
+
   long troubledMs() {
     return troubledMs;
   }
@@ -80,9 +85,7 @@
   void started(String task, WorkerStandIn machine) {
     starts++;
     begun.add(jobOf(task));
-    Scene.Job begins = scene.jobs.get(jobOf(task));
-    begunAfter.putIfAbsent(
-        begins.id, world.now() - troubledMs - begins.submittedAt + begins.troubledBeforeMs);
+    begunAfter.putIfAbsent(jobOf(task), calmSinceSubmission(scene.jobs.get(jobOf(task))));
     movedAt.put(jobOf(task), world.now());
     startsOn.merge(machine.id, 1, Integer::sum);
     trace(task + " starts on " + machine.id);
@@ -98,18 +101,13 @@
       breaks("wrong_place", task + " starts on " + machine.id);
     }
     Map<String, Integer> zones = new HashMap<>();
-    double used = 0;
-    for (Map.Entry<String, Set<String>> one : on.entrySet()) {
-      Scene.Job other = scene.jobs.get(jobOf(one.getKey()));
-      for (String place : one.getValue()) {
-        if (other.team.equals(job.team)) {
-          used += other.cpus;
-        }
-        if (other == job) {
-          zones.merge(scene.zoneOf(place), 1, Integer::sum);
-        }
-      }
-    }
+    on.forEach(
+        (other, at) -> {
+          if (jobOf(other).equals(job.id)) {
+            at.forEach(place -> zones.merge(scene.zoneOf(place), 1, Integer::sum));
+          }
+        });
+    double used = used(job.team);
     if (used > scene.limit(job.team) + 1e-6) {
       breaks("quota", job.team + " uses " + used);
     }
@@ -254,10 +252,7 @@
           }
         });
     for (Scene.Job job : largest) {
-      long waited =
-          begunAfter.containsKey(job.id)
-              ? begunAfter.get(job.id)
-              : world.now() - troubledMs - job.submittedAt + job.troubledBeforeMs;
+      long waited = begunAfter.getOrDefault(job.id, calmSinceSubmission(job));
       if (waited > LARGEST_BEGIN_WITHIN_MS) {
         breaks("unserved", job.id + " is of the largest and began after " + waited + " ms");
       }
--- a/src/test/java/org/fieldtrestle/rehearsal/Scene.java
+++ b/src/test/java/org/fieldtrestle/rehearsal/Scene.java
@@ -308,9 +308,7 @@
     }
   }
 
-  /**
-   * Who acts as most masters' holder of machines that run a job's tasks; for whoever is to lose.
-   */
+  /** The controller that most machines with tasks of a job report to. */
   String leaderOf(Job job) {
     Map<String, Integer> counts = new HashMap<>();
     for (WorkerStandIn machine : cloud.machines.values()) {
