The reserve yields to a range that stands still beside it, so that nothing waits for long

Cause of the known red test: room that is reserved for classes that hurry was withheld from a range without end, though urgent work never came to use it. A range none of whose tasks starts or ends for two worker leases (or a boot, if that is less) while there is room that fits may take one task's worth of the reserve; then its time begins anew, so that ranges that move take nothing. Ruled out: the team's share and the machine's claims (the test passes without the reserve).

--- a/src/main/java/org/fieldtrestle/coordination/OwnedRange.java
+++ b/src/main/java/org/fieldtrestle/coordination/OwnedRange.java
@@ -48,6 +48,11 @@
   /** Tasks that have exited as done and wait on their machines until that is durable. */
   final Set<Placed> exited = new HashSet<>();
 
+  static final long NOT_WITHHELD = -1;
+
+  /** Since when there is room for its tasks that is reserved for others, and none has moved. */
+  long withheldSince = NOT_WITHHELD;
+
   /** The placement step in which no machine had room for its tasks. */
   long noRoomIn = -1;
 
@@ -92,6 +97,7 @@
     fresh.clear(offset);
     retries.remove(offset);
     placed.put(offset, task);
+    withheldSince = NOT_WITHHELD;
   }
 
   /** The task is nowhere now and waits again. */
@@ -99,6 +105,7 @@
     placed.remove(offset);
     Retry retry = new Retry();
     retry.waitingSince = waitingSince;
+    withheldSince = NOT_WITHHELD;
     if (!isDone(offset) && !finished.get(offset)) {
       retries.put(offset, retry);
     }
@@ -106,6 +113,7 @@
   }
 
   void finish(int offset) {
+    withheldSince = NOT_WITHHELD;
     placed.remove(offset);
     fresh.clear(offset);
     retries.remove(offset);
@@ -128,6 +136,14 @@
     return fresh.get(offset) || retries.containsKey(offset) && !failures.containsKey(offset);
   }
 
+  /** The offset of some task that waits; below 0 where none does. */
+  int firstWaiting() {
+    if (!fresh.isEmpty()) {
+      return fresh.nextSetBit(0);
+    }
+    return retries.isEmpty() ? -1 : retries.keySet().iterator().nextInt();
+  }
+
   int waiting() {
     return fresh.cardinality() + retries.size();
   }
--- a/src/main/java/org/fieldtrestle/coordination/Placement.java
+++ b/src/main/java/org/fieldtrestle/coordination/Placement.java
@@ -44,6 +44,12 @@
    */
   private static final double OVERDUE_BOOTS = 3;
 
+  /**
+   * Worker leases for which a range may wait, none of its tasks starting or ending, beside free
+   * room that is reserved for urgent classes. After that one of its tasks may take reserved room.
+   */
+  private static final double RESERVE_YIELDS_AFTER_LEASES = 2;
+
   /** What a pass decides. */
   interface Decisions {
     /** A task goes to a machine; a whole job's tasks go under one attempt. */
@@ -156,6 +162,17 @@
           && free - spec.cpus() < reserve
           && free < all - 1e-6;
     }
+
+    /** Whether some machine has room for a task of the range, reserved or not. */
+    boolean hasRoomFor(OwnedRange range) {
+      int offset = range.firstWaiting();
+      for (Host.Room room : rooms) {
+        if (room.fits(range.spec) && allowed(faults, range, offset, room.host)) {
+          return true;
+        }
+      }
+      return false;
+    }
   }
 
   /** A range that is new here. */
@@ -284,8 +301,8 @@
       Host.Room room = null;
       // Room only shrinks within a step: what one task of a range did not find, none finds.
       if (range.noRoomIn != step
-          && (next.what().overdue() || !pass.kept(range.spec))
-          && shares.allows(range.spec)) {
+          && shares.allows(range.spec)
+          && (next.what().overdue() || !pass.kept(range.spec) || reserveYieldsTo(pass, range))) {
         room = choose(pass, next.what(), next.what().first());
         if (room == null) {
           range.noRoomIn = step;
@@ -311,6 +328,27 @@
     return stuck;
   }
 
+  /**
+   * Whether the reserve gives way to a range that has stood still beside reserved room for too
+   * long. Users see free room, whatever it is reserved for, and expect nothing to wait beside it
+   * for long; a range whose tasks start or end now and then is not standing still.
+   */
+  private boolean reserveYieldsTo(Pass pass, OwnedRange range) {
+    if (!pass.hasRoomFor(range)) {
+      range.withheldSince = OwnedRange.NOT_WITHHELD;
+      return false;
+    }
+    if (range.withheldSince == OwnedRange.NOT_WITHHELD) {
+      range.withheldSince = pass.now;
+    }
+    long patienceMs =
+        Math.round(
+            Math.min(
+                node.settings().workerLeaseMs() * RESERVE_YIELDS_AFTER_LEASES,
+                node.bootS() * 1000));
+    return pass.now - range.withheldSince > patienceMs;
+  }
+
   /** Whether a task has waited for so much of its slack that it takes any room there is. */
   private boolean pressing(Group group, long now) {
     return node.hurried(group.range().spec) || usedUp(group, now) > PRESSING;
