--- /dev/null
+++ b/src/main/java/org/fieldtrestle/ControllerProcess.java
@@ -0,0 +1,94 @@
+package org.fieldtrestle;
+
+import io.netty.channel.nio.NioEventLoopGroup;
+import java.net.InetSocketAddress;
+import java.nio.ByteBuffer;
+import java.util.HashSet;
+import java.util.List;
+import java.util.SplittableRandom;
+import java.util.concurrent.TimeUnit;
+import org.fieldtrestle.coordination.Controller;
+import org.fieldtrestle.coordination.Tuning;
+import org.fieldtrestle.protocol.PeerWire;
+import org.fieldtrestle.protocol.Settings;
+import org.fieldtrestle.protocol.WorkerWire;
+import org.fieldtrestle.transport.HttpClient;
+import org.fieldtrestle.transport.HttpServer;
+import org.fieldtrestle.transport.NettyReactor;
+import org.fieldtrestle.transport.PeerNet;
+import org.fieldtrestle.transport.Sockets;
+import org.fieldtrestle.transport.WorkMeter;
+
+/** A controller with its event loop and its connections to everybody else. */
+final class ControllerProcess {
+  /** Share of all sockets that direct commands to workers may take. */
+  private static final int WORKER_CALLS_DIVISOR = 5;
+
+  /** Connections from each other controller: it may have come back while old ones linger. */
+  private static final int INBOUND_PER_PEER = 8;
+
+  private final NioEventLoopGroup group = new NioEventLoopGroup(1);
+  private final NettyReactor reactor = new NettyReactor(group.next());
+  private final PeerNet peers;
+  private final Controller controller;
+  private final HttpServer server;
+
+  ControllerProcess(Settings settings, Tuning tuning) {
+    WorkMeter meter = new WorkMeter(System::nanoTime);
+    Sockets sockets = new Sockets(settings.limits().maxConnections());
+    long idleMs = settings.workerLeaseMs() * 2;
+    HttpClient client =
+        new HttpClient(
+            group.next(),
+            sockets,
+            new HashSet<>(List.of(settings.stateAddress(), settings.cloudAddress())),
+            settings.limits().maxConnections() / WORKER_CALLS_DIVISOR,
+            meter);
+    peers =
+        new PeerNet(
+            group,
+            sockets,
+            PeerWire.MAX_FRAME,
+            INBOUND_PER_PEER * (settings.peers().size() + 1),
+            idleMs,
+            Math.round(settings.workers().reportS() * 1000));
+    controller =
+        new Controller(settings, tuning, reactor, new SplittableRandom(), client, peers, meter);
+    server =
+        new HttpServer(
+            group,
+            controller,
+            sockets,
+            WorkerWire.REPORT::equals,
+            idleMs,
+            settings.workerLeaseMs() / 2,
+            meter);
+  }
+
+  /**
+   * Listens and begins to act.
+   *
+   * @return the port for users and workers
+   */
+  int start(InetSocketAddress front, InetSocketAddress internal) throws InterruptedException {
+    int port = server.start(front);
+    peers.start(internal, this::frame);
+    reactor.execute(controller::start);
+    return port;
+  }
+
+  private void frame(ByteBuffer received) {
+    ByteBuffer copy = ByteBuffer.allocate(received.remaining()).put(received).flip();
+    controller.frame(copy);
+  }
+
+  /** Waits for as long as the controller runs. */
+  void await() throws InterruptedException {
+    group.terminationFuture().sync();
+  }
+
+  /** Ends the controller at once. */
+  void stop() throws InterruptedException {
+    group.shutdownGracefully(0, 1, TimeUnit.SECONDS).sync();
+  }
+}
--- a/src/main/java/org/fieldtrestle/bookkeeping/Records.java
+++ b/src/main/java/org/fieldtrestle/bookkeeping/Records.java
@@ -8,6 +8,7 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Objects;
 import java.util.TreeMap;
 import org.fieldtrestle.protocol.JobSpec;
 import org.fieldtrestle.protocol.Json;
@@ -53,6 +54,17 @@
       return byJob != 0 ? byJob : Integer.compare(index, other.index);
     }
 
+    /** Written out, as those that records are given cost several times as much. */
+    @Override
+    public boolean equals(Object other) {
+      return other instanceof RangeKey that && index == that.index && job.equals(that.job);
+    }
+
+    @Override
+    public int hashCode() {
+      return 31 * job.hashCode() + index;
+    }
+
     @Override
     public String toString() {
       return job + "#" + index;
@@ -249,6 +261,24 @@
       return upIn > 0;
     }
 
+    /** Written out, as whole rosters are compared by it. */
+    @Override
+    public boolean equals(Object other) {
+      return other instanceof Machine that
+          && part == that.part
+          && spot == that.spot
+          && sinceWall == that.sinceWall
+          && upIn == that.upIn
+          && master.equals(that.master)
+          && type.equals(that.type)
+          && zone.equals(that.zone);
+    }
+
+    @Override
+    public int hashCode() {
+      return Objects.hash(master, part, type, zone, spot, sinceWall, upIn);
+    }
+
     public Machine upIn(long epoch) {
       return new Machine(master, part, type, zone, spot, 0, epoch);
     }
--- a/src/main/java/org/fieldtrestle/bookkeeping/View.java
+++ b/src/main/java/org/fieldtrestle/bookkeeping/View.java
@@ -69,6 +69,12 @@
     }
   }
 
+  /** What opening a watch and reading its answer costs of a whole core, about. */
+  private static final double WATCH_COST_MS = 0.5;
+
+  /** Part of this controller's processor time that following changes may take. */
+  private static final double WATCH_CPU_PART = 0.05;
+
   private final Reactor reactor;
   private final Store store;
   private final long watchGapMs;
@@ -95,8 +101,14 @@
   public View(Reactor reactor, Store store, Settings settings) {
     this.reactor = reactor;
     this.store = store;
-    // Reopened watches may take a quarter of the requests that the state service allows.
-    this.watchGapMs = Math.round(4000 / settings.share(settings.state().rps()));
+    // Reopened watches may take a quarter of the requests that the state service allows, and a
+    // small
+    // part of the processor.
+    this.watchGapMs =
+        Math.round(
+            Math.max(
+                4000 / settings.share(settings.state().rps()),
+                WATCH_COST_MS / (settings.limits().cpuShare() * WATCH_CPU_PART)));
     this.watchWaitMs = settings.stateLeaseMs() / 6;
   }
 
--- a/src/main/java/org/fieldtrestle/coordination/Controller.java
+++ b/src/main/java/org/fieldtrestle/coordination/Controller.java
@@ -24,6 +24,8 @@
 import org.fieldtrestle.transport.Http;
 import org.fieldtrestle.transport.PeerLink;
 import org.fieldtrestle.transport.Reactor;
+import org.fieldtrestle.transport.WorkMeter;
+import org.fieldtrestle.transport.WorkMeter.Work;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
@@ -38,6 +40,7 @@
   private final Loads loads;
   private final Gateway gateway;
   private final Handover handover;
+  private final WorkMeter meter;
   private final Map<String, Master> masters = new TreeMap<>();
   private final Set<String> adopting = new HashSet<>();
   private final Set<String> finishing = new HashSet<>();
@@ -54,8 +57,11 @@
       Tuning tuning,
       Reactor reactor,
       RandomGenerator random,
-      Http.Caller caller,
-      PeerLink peers) {
+      Http.Caller unmetered,
+      PeerLink peers,
+      WorkMeter meter) {
+    this.meter = meter;
+    Http.Caller caller = metered(unmetered, settings, meter);
     this.reactor = reactor;
     this.peers = peers;
     Store store = new Store(reactor, caller, settings);
@@ -78,7 +84,7 @@
             membership,
             loads,
             Caffeine.newBuilder().maximumSize(10_000).executor(Runnable::run).build(),
-            new Stats());
+            new Stats(meter));
     this.handover = new Handover(node);
     this.gateway =
         new Gateway(
@@ -146,12 +152,36 @@
     gossip();
   }
 
+  /** Counts what answers cost by who has given them. */
+  private static Http.Caller metered(Http.Caller caller, Settings settings, WorkMeter meter) {
+    return (address, method, path, body, timeoutMs, done) -> {
+      Work work = Work.WORKER_COMMAND_ANSWER;
+      if (address.equals(settings.stateAddress())) {
+        work = path.startsWith(StateWire.WATCH) ? Work.STATE_WATCH : Work.STATE_ANSWER;
+      } else if (address.equals(settings.cloudAddress())) {
+        work = Work.CLOUD_ANSWER;
+      }
+      Work answer = work;
+      caller.call(
+          address,
+          method,
+          path,
+          body,
+          timeoutMs,
+          outcome -> meter.run(answer, () -> done.accept(outcome)));
+    };
+  }
+
   private void tick() {
+    meter.run(Work.PERIODIC_CHECKS, this::check);
+    reactor.schedule(node.reportMs(0.2), this::tick);
+  }
+
+  private void check() {
     masters.values().forEach(master -> master.tell(new Master.Tick()));
     finishComplete();
     handOver();
     takeFromUnreachable();
-    reactor.schedule(node.reportMs(0.2), this::tick);
   }
 
   /** Whoever our workers reach had better hold our masters while they do not reach us. */
@@ -183,6 +213,11 @@
   }
 
   private void gossip() {
+    meter.run(Work.PEER_BROADCAST, this::broadcast);
+    reactor.schedule(node.reportMs(0.2), this::gossip);
+  }
+
+  private void broadcast() {
     ByteBuffer pulse =
         PeerWire.encode(
             reactor.wall(),
@@ -205,11 +240,14 @@
         }
       }
     }
-    reactor.schedule(node.reportMs(0.2), this::gossip);
   }
 
   /** A frame from another controller, without its length. */
   public void frame(ByteBuffer frame) {
+    meter.run(Work.PEER_FRAME, () -> read(frame));
+  }
+
+  private void read(ByteBuffer frame) {
     try {
       PeerWire.Frame read = PeerWire.decode(frame);
       if (read.message() instanceof PeerWire.Cancelled cancelled) { // final, and true at any age
@@ -301,6 +339,11 @@
 
   @Override
   public void handle(Http.Request request, Consumer<Http.Response> reply) {
+    Work work = request.path().equals(WorkerWire.REPORT) ? Work.WORKER_REPORT : Work.OTHER_REQUEST;
+    meter.run(work, () -> dispatch(request, reply));
+  }
+
+  private void dispatch(Http.Request request, Consumer<Http.Response> reply) {
     String path = request.path();
     if (path.equals(WorkerWire.REPORT)) {
       if (request.method().equals("POST")) {
--- a/src/main/java/org/fieldtrestle/coordination/Gateway.java
+++ b/src/main/java/org/fieldtrestle/coordination/Gateway.java
@@ -22,6 +22,7 @@
 import org.fieldtrestle.protocol.UserWire.Stage;
 import org.fieldtrestle.transport.Actor;
 import org.fieldtrestle.transport.Http;
+import org.fieldtrestle.transport.WorkMeter.Work;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
@@ -106,6 +107,17 @@
 
   @Override
   protected void receive(Message message) {
+    node.stats().work.run(kind(message), () -> answer(message));
+  }
+
+  private static Work kind(Message message) {
+    if (message instanceof Submit) {
+      return Work.USER_SUBMISSION;
+    }
+    return message instanceof Poll ? Work.USER_QUERY : Work.USER_CANCELLATION;
+  }
+
+  private void answer(Message message) {
     if (message instanceof Submit submit) {
       long began = node.now();
       submit(
--- a/src/main/java/org/fieldtrestle/coordination/Host.java
+++ b/src/main/java/org/fieldtrestle/coordination/Host.java
@@ -298,7 +298,9 @@
   }
 
   void usesImage(String image, double gb, double cacheGb) {
-    images.put(image, gb);
+    if (images.put(image, gb) != null) {
+      return; // only used again
+    }
     double total = 0;
     for (double size : images.values()) {
       total += size;
--- a/src/main/java/org/fieldtrestle/coordination/Machines.java
+++ b/src/main/java/org/fieldtrestle/coordination/Machines.java
@@ -1,7 +1,6 @@
 package org.fieldtrestle.coordination;
 
 import java.util.ArrayList;
-import java.util.HashSet;
 import java.util.Iterator;
 import java.util.LinkedHashSet;
 import java.util.List;
@@ -365,7 +364,7 @@
 
   private boolean reconcile(Host host, WorkerWire.Report report) {
     boolean changed = false;
-    Set<Placed> seen = new HashSet<>(report.tasks().size() * 2);
+    int shown = 0;
     host.ghosts.clear();
     for (WorkerWire.ReportedTask reported : report.tasks()) {
       Placed task = host.placed(reported.task());
@@ -376,15 +375,16 @@
       if (task == null) {
         host.ghosts.add(reported);
       } else {
-        seen.add(task);
+        shown += task.shownIn == report.seq() ? 0 : 1;
+        task.shownIn = report.seq();
         changed |= follow(task, reported);
       }
     }
-    if (seen.size() == host.placed().size()) {
+    if (shown == host.placed().size()) {
       return changed;
     }
     for (Placed task : host.copyOfPlaced()) {
-      if (seen.contains(task)) {
+      if (task.shownIn == report.seq()) {
         continue;
       }
       if (!task.live()) {
--- a/src/main/java/org/fieldtrestle/coordination/Master.java
+++ b/src/main/java/org/fieldtrestle/coordination/Master.java
@@ -14,6 +14,7 @@
 import org.fieldtrestle.protocol.WorkerWire;
 import org.fieldtrestle.transport.Actor;
 import org.fieldtrestle.transport.Http;
+import org.fieldtrestle.transport.WorkMeter.Work;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
@@ -114,13 +115,15 @@
       activate();
     }
     if (message instanceof Reported reported) {
-      reported(reported.report(), reported.reply());
+      node.stats()
+          .work
+          .run(Work.WORKER_REPORT, () -> reported(reported.report(), reported.reply()));
     } else if (message instanceof Changed changed) {
       changed(changed.key());
     } else if (message instanceof CalledOff calledOff) {
       ranges.calledOff(calledOff.job());
     } else if (message instanceof Tick) {
-      tick();
+      node.stats().work.run(Work.PERIODIC_CHECKS, this::tick);
     } else if (message instanceof Ended) {
       over = true;
       answerAll();
@@ -350,7 +353,7 @@
     ranges.refreshAll();
     if (node.acting()) {
       shares.tick();
-      fleet.tick(now);
+      node.stats().work.run(Work.FLEET_SIZING, () -> fleet.tick(now));
       ranges.writePartial(now);
       rehand.tick(now);
       report(now);
@@ -370,18 +373,20 @@
     long soon = node.view().watchGapMs() / 5;
     reactor.schedule(
         Math.max(soon, passNotBefore - node.now()),
-        () -> {
-          passDue = false;
-          if (running() && !node.types().isEmpty()) {
-            long began = node.now();
-            placement.pass(began);
-            long took = node.now() - began;
-            passNotBefore = node.now() + took * PASS_REST;
-            Stats.record(node.stats().passMs, took);
-          }
-          answerAll();
-          sendDirect();
-        });
+        () -> node.stats().work.run(Work.PLACEMENT, this::pass));
+  }
+
+  private void pass() {
+    passDue = false;
+    if (running() && !node.types().isEmpty()) {
+      long began = node.now();
+      placement.pass(began);
+      long took = node.now() - began;
+      passNotBefore = node.now() + took * PASS_REST;
+      Stats.record(node.stats().passMs, took);
+    }
+    answerAll();
+    sendDirect();
   }
 
   /** One line on where the master stands, for whoever reads the log later. */
@@ -433,6 +438,7 @@
         node.stats().fetches,
         node.stats().placed,
         node.stats().passMs.getValueAtPercentile(95));
+    LOG.info("work so far: {}", node.stats().work.summary());
   }
 
   // ---- what others ask
--- a/src/main/java/org/fieldtrestle/coordination/Placed.java
+++ b/src/main/java/org/fieldtrestle/coordination/Placed.java
@@ -46,6 +46,9 @@
   /** Its start has gone out at least once, so that it may be there. */
   boolean startSent;
 
+  /** The number of the machine's last report that showed it. */
+  long shownIn = -1;
+
   /** The machine's last report before its start should have come; below 0 where that is open. */
   long answeredSeq = -1;
 
--- a/src/main/java/org/fieldtrestle/coordination/Stats.java
+++ b/src/main/java/org/fieldtrestle/coordination/Stats.java
@@ -1,6 +1,7 @@
 package org.fieldtrestle.coordination;
 
 import org.HdrHistogram.Histogram;
+import org.fieldtrestle.transport.WorkMeter;
 
 /** Counters and latencies of one controller, for those on call. */
 public final class Stats {
@@ -10,6 +11,10 @@
   public final Histogram pollMs = new Histogram(MAX_MS, 2);
   public final Histogram startWaitMs = new Histogram(MAX_MS, 2);
   public final Histogram passMs = new Histogram(MAX_MS, 2);
+
+  /** What the event loop spends its time on. */
+  public final WorkMeter work;
+
   public long placed;
 
   /** Of these, for how many the machine had to fetch an image first. */
@@ -21,6 +26,10 @@
   public long returned;
   public long refusedSubmissions;
 
+  public Stats(WorkMeter work) {
+    this.work = work;
+  }
+
   public static void record(Histogram histogram, long ms) {
     histogram.recordValue(Math.max(0, Math.min(MAX_MS, ms)));
   }
--- a/src/main/java/org/fieldtrestle/coordination/StatsPage.java
+++ b/src/main/java/org/fieldtrestle/coordination/StatsPage.java
@@ -2,8 +2,10 @@
 
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import java.util.Collection;
+import java.util.Locale;
 import org.HdrHistogram.Histogram;
 import org.fieldtrestle.protocol.Json;
+import org.fieldtrestle.transport.WorkMeter;
 
 /** The read-only page for those on call: what this controller does, and how long it takes. */
 final class StatsPage {
@@ -39,6 +41,12 @@
     counts.put("rented", stats.rented);
     counts.put("returned", stats.returned);
     counts.put("refusedSubmissions", stats.refusedSubmissions);
+    ObjectNode work = page.putObject("work");
+    for (WorkMeter.Work kind : WorkMeter.Work.values()) {
+      work.putObject(kind.name().toLowerCase(Locale.ROOT))
+          .put("count", stats.work.count(kind))
+          .put("ms", Math.round(stats.work.millis(kind)));
+    }
     ObjectNode latencies = page.putObject("latencyMs");
     put(latencies, "submit", stats.submitMs);
     put(latencies, "poll", stats.pollMs);
--- a/src/main/java/org/fieldtrestle/protocol/Json.java
+++ b/src/main/java/org/fieldtrestle/protocol/Json.java
@@ -1,5 +1,7 @@
 package org.fieldtrestle.protocol;
 
+import com.fasterxml.jackson.core.JsonGenerator;
+import com.fasterxml.jackson.core.JsonParser;
 import com.fasterxml.jackson.core.JsonProcessingException;
 import com.fasterxml.jackson.databind.DeserializationFeature;
 import com.fasterxml.jackson.databind.JsonNode;
@@ -7,10 +9,15 @@
 import com.fasterxml.jackson.databind.node.ArrayNode;
 import com.fasterxml.jackson.databind.node.JsonNodeFactory;
 import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.io.ByteArrayOutputStream;
 import java.io.IOException;
+import java.io.UncheckedIOException;
 
 /** The one JSON mapper, and the checks that all readers of foreign JSON share. */
 public final class Json {
+  /** What most bodies that are written field by field take at the most. */
+  private static final int USUAL_BYTES = 256;
+
   private static final ObjectMapper MAPPER =
       new ObjectMapper().enable(DeserializationFeature.FAIL_ON_TRAILING_TOKENS);
 
@@ -41,6 +48,29 @@
     }
   }
 
+  /** Writes the fields of an object. */
+  interface FieldWriter {
+    void write(JsonGenerator out) throws IOException;
+  }
+
+  /** An object whose fields are written one by one, without a tree of them. */
+  static byte[] write(FieldWriter fields) {
+    ByteArrayOutputStream bytes = new ByteArrayOutputStream(USUAL_BYTES);
+    try (JsonGenerator out = MAPPER.getFactory().createGenerator(bytes)) {
+      out.writeStartObject();
+      fields.write(out);
+      out.writeEndObject();
+    } catch (IOException e) {
+      throw new UncheckedIOException("bytes can always be written", e);
+    }
+    return bytes.toByteArray();
+  }
+
+  /** Reads a body token by token. */
+  static JsonParser parser(byte[] body) throws IOException {
+    return MAPPER.getFactory().createParser(body);
+  }
+
   public static JsonNode parse(byte[] body) throws Malformed {
     JsonNode node;
     try {
--- a/src/main/java/org/fieldtrestle/protocol/StateWire.java
+++ b/src/main/java/org/fieldtrestle/protocol/StateWire.java
@@ -8,8 +8,10 @@
 
 /** The state service's interface. */
 public final class StateWire {
+  public static final String KEYS = "/kv";
   public static final String COMMIT = "/commit";
   public static final String LEASES = "/leases";
+  public static final String WATCH = "/watch";
 
   private StateWire() {}
 
@@ -59,15 +61,20 @@
   }
 
   public static String getPath(String key) {
-    return "/kv/" + key;
+    return KEYS + "/" + key;
   }
 
   public static String listPath(String prefix, String after, int limit) {
-    return "/kv?prefix=" + prefix + (after.isEmpty() ? "" : "&from=" + after) + "&most=" + limit;
+    return KEYS
+        + "?prefix="
+        + prefix
+        + (after.isEmpty() ? "" : "&from=" + after)
+        + "&most="
+        + limit;
   }
 
   public static String watchPath(String prefix, long after, long waitMs) {
-    return "/watch?prefix=" + prefix + "&from=" + after + "&blockMs=" + waitMs;
+    return WATCH + "?prefix=" + prefix + "&from=" + after + "&blockMs=" + waitMs;
   }
 
   public static String renewPath(long lease) {
--- a/src/main/java/org/fieldtrestle/protocol/TaskId.java
+++ b/src/main/java/org/fieldtrestle/protocol/TaskId.java
@@ -2,6 +2,17 @@
 
 /** One task of a job. */
 public record TaskId(String job, int index) {
+  /** Written out, as those that records are given cost several times as much. */
+  @Override
+  public boolean equals(Object other) {
+    return other instanceof TaskId that && index == that.index && job.equals(that.job);
+  }
+
+  @Override
+  public int hashCode() {
+    return 31 * job.hashCode() + index;
+  }
+
   @Override
   public String toString() {
     return job + "/" + index;
--- a/src/main/java/org/fieldtrestle/transport/HttpClient.java
+++ b/src/main/java/org/fieldtrestle/transport/HttpClient.java
@@ -42,6 +42,7 @@
   private final Sockets sockets;
   private final Set<String> needed;
   private final int maxOthers;
+  private final WorkMeter meter;
 
   /** Connections to others than those we depend on. */
   private int others;
@@ -49,8 +50,11 @@
   /**
    * @param needed addresses of those we depend on: they never wait for a socket that others hold
    * @param maxOthers most connections to all others: machines behind a cut hold theirs for long
+   * @param meter what writing requests and reading answers costs is counted here
    */
-  public HttpClient(EventLoop loop, Sockets sockets, Set<String> needed, int maxOthers) {
+  public HttpClient(
+      EventLoop loop, Sockets sockets, Set<String> needed, int maxOthers, WorkMeter meter) {
+    this.meter = meter;
     this.loop = loop;
     this.sockets = sockets;
     this.needed = needed;
@@ -65,7 +69,12 @@
       byte[] body,
       long timeoutMs,
       Consumer<Http.Outcome> done) {
-    Pending pending = new Pending(method, path, body, done);
+    meter.run(
+        WorkMeter.Work.HTTP_CLIENT_WRITE,
+        () -> call(address, new Pending(method, path, body, done), timeoutMs));
+  }
+
+  private void call(String address, Pending pending, long timeoutMs) {
     ArrayDeque<Line> kept = idle.get(address);
     Line line = null;
     while (kept != null && line == null && !kept.isEmpty()) {
@@ -216,6 +225,10 @@
 
     @Override
     protected void channelRead0(ChannelHandlerContext ctx, FullHttpResponse message) {
+      meter.run(WorkMeter.Work.HTTP_CLIENT_READ, () -> read(ctx, message));
+    }
+
+    private void read(ChannelHandlerContext ctx, FullHttpResponse message) {
       Pending answered = current;
       current = null;
       byte[] body = new byte[message.content().readableBytes()];
--- a/src/main/java/org/fieldtrestle/transport/HttpServer.java
+++ b/src/main/java/org/fieldtrestle/transport/HttpServer.java
@@ -48,6 +48,7 @@
   private final Predicate<String> doesWithout;
   private final long idleMs;
   private final long requestMs;
+  private final WorkMeter meter;
 
   /** Connections that owe us the rest of a request, and since when, the longest first. */
   private final Map<Channel, Long> owing = new LinkedHashMap<>();
@@ -59,6 +60,7 @@
    * @param doesWithout paths of those whose connections end first when sockets get scarce
    * @param idleMs a kept connection on which nothing arrives for so long is closed
    * @param requestMs a new connection, or a request that has begun, has to be whole within this
+   * @param meter what reading requests and writing answers costs is counted here
    */
   public HttpServer(
       EventLoopGroup group,
@@ -66,7 +68,9 @@
       Sockets sockets,
       Predicate<String> doesWithout,
       long idleMs,
-      long requestMs) {
+      long requestMs,
+      WorkMeter meter) {
+    this.meter = meter;
     this.group = group;
     this.handler = handler;
     this.sockets = sockets;
@@ -148,7 +152,12 @@
         sockets.busy(ctx.channel());
         owing.put(ctx.channel(), now());
       }
-      super.channelRead(ctx, message);
+      int outer = meter.begin(WorkMeter.Work.HTTP_SERVER_READ);
+      try {
+        super.channelRead(ctx, message);
+      } finally {
+        meter.end(outer);
+      }
     }
   }
 
@@ -199,6 +208,10 @@
     }
 
     private void send(ChannelHandlerContext ctx, boolean keep, Http.Response response) {
+      meter.run(WorkMeter.Work.HTTP_SERVER_WRITE, () -> write(ctx, keep, response));
+    }
+
+    private void write(ChannelHandlerContext ctx, boolean keep, Http.Response response) {
       busy = false;
       if (!ctx.channel().isActive()) {
         return;
--- a/src/main/java/org/fieldtrestle/transport/NettyReactor.java
+++ b/src/main/java/org/fieldtrestle/transport/NettyReactor.java
@@ -21,6 +21,11 @@
     return (System.nanoTime() - origin) / 1_000_000;
   }
 
+  @Override
+  public long nanoTime() {
+    return System.nanoTime();
+  }
+
   @Override
   public long wall() {
     return System.currentTimeMillis();
--- a/src/main/java/org/fieldtrestle/transport/Reactor.java
+++ b/src/main/java/org/fieldtrestle/transport/Reactor.java
@@ -11,6 +11,11 @@
   /** Time of day in milliseconds, right within the bound that the settings name. */
   long wall();
 
+  /** The steady clock in nanoseconds, for measuring only. */
+  default long nanoTime() {
+    return now() * 1_000_000;
+  }
+
   void execute(Runnable work);
 
   Timer schedule(long delayMs, Runnable work);
--- a/src/test/java/org/fieldtrestle/protocol/WiresTest.java
+++ b/src/test/java/org/fieldtrestle/protocol/WiresTest.java
@@ -155,6 +155,46 @@
     assertThrows(PeerWire.BadFrame.class, () -> PeerWire.decode(wrong));
   }
 
+  private static final String REPORT =
+      """
+      {"bench":"host-1","address":"10.1.0.2:9000","rig":"g8","yard":"a","loaners":true,"shift":1,\
+      "tally":88,"warrant":41,"recallS":1.5,"newer":{"deep":[{"boards":[1]}]},"boards":[{"more":[{}],\
+      "board":"job-1/2","try":3,"stage":"exited","cause":"done"}]}""";
+
+  @Test
+  void aReportThatIsCutOffOrDamagedIsRefusedByName() throws Json.Malformed {
+    assertEquals(1, WorkerWire.readReport(utf8(REPORT)).tasks().size());
+    for (int cut = 0; cut < REPORT.length(); cut++) {
+      byte[] shorter = utf8(REPORT.substring(0, cut));
+      assertThrows(Json.Malformed.class, () -> WorkerWire.readReport(shorter), "cut at " + cut);
+    }
+    String[][] damages = {
+      {"\"host-1\"", "7", "bench"},
+      {"\"host-1\"", "\"a b\"", "bench"},
+      {"\"10.1.0.2:9000\"", "\"here\"", "address"},
+      {"\"g8\"", "{\"rig\":\"g8\"}", "rig"},
+      {"\"loaners\":true", "\"loaners\":\"true\"", "loaners"},
+      {"\"shift\":1", "\"shift\":-1", "shift"},
+      {"\"tally\":88", "\"tally\":8.5", "tally"},
+      {"\"warrant\":41", "\"warrant\":99999999999999999999", "warrant"},
+      {"\"recallS\":1.5", "\"recallS\":-1", "recallS"},
+      {"\"boards\":[{\"more\"", "\"boards\":[7,{\"more\"", "boards"},
+      {"\"try\":3,", "", "try"},
+      {"\"stage\":\"exited\"", "\"stage\":null", "stage"},
+      {"job-1/2", "job-1", "task"}
+    };
+    for (String[] damage : damages) {
+      String text = REPORT.replace(damage[0], damage[1]);
+      Json.Malformed refused =
+          assertThrows(Json.Malformed.class, () -> WorkerWire.readReport(utf8(text)), text);
+      assertEquals(damage[2], refused.getMessage(), text);
+    }
+    assertThrows(Json.Malformed.class, () -> WorkerWire.readReport(utf8(REPORT + "x")));
+    WorkerWire.Report odd =
+        WorkerWire.readReport(utf8(REPORT.replace("\"cause\":\"done\"", "\"cause\":{\"a\":[1]}")));
+    assertEquals(WorkerWire.Cause.NONE, odd.tasks().get(0).cause());
+  }
+
   @Property(tries = 200, seed = "43")
   void reportsAreReadWithAllTheirTasks(
       @ForAll @LongRange(min = 0, max = 1L << 60) long token,
--- a/src/test/java/org/fieldtrestle/rehearsal/CloudStandIn.java
+++ b/src/test/java/org/fieldtrestle/rehearsal/CloudStandIn.java
@@ -114,7 +114,7 @@
                 world,
                 scene,
                 String.format("host-%06d", ++count),
-                "10.1.0." + count + ":9000",
+                scene.workerAddress.apply(count),
                 body.path("rig").asText(),
                 body.path("yard").asText(),
                 body.path("loaners").asBoolean());
--- a/src/test/java/org/fieldtrestle/rehearsal/Net.java
+++ b/src/test/java/org/fieldtrestle/rehearsal/Net.java
@@ -46,6 +46,10 @@
     zones.put(address, zone);
   }
 
+  boolean serves(String address) {
+    return servers.containsKey(address);
+  }
+
   void stop(String address) {
     servers.remove(address);
   }
--- a/src/test/java/org/fieldtrestle/rehearsal/Scene.java
+++ b/src/test/java/org/fieldtrestle/rehearsal/Scene.java
@@ -8,6 +8,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.function.IntFunction;
 import java.util.random.RandomGenerator;
 import org.fieldtrestle.coordination.Controller;
 import org.fieldtrestle.coordination.Tuning;
@@ -15,6 +16,7 @@
 import org.fieldtrestle.protocol.Settings;
 import org.fieldtrestle.transport.Http;
 import org.fieldtrestle.transport.Reactor;
+import org.fieldtrestle.transport.WorkMeter;
 
 /** Three controllers of the real code amid stand-ins for all else, with users and troubles. */
 final class Scene {
@@ -69,6 +71,12 @@
     Controller controller;
   }
 
+  private static final IntFunction<String> SIMULATED_WORKER_ADDRESS =
+      number -> "10.1.0." + number + ":9000";
+
+  /** The address of the worker of the machine that was rented as the n-th. */
+  final IntFunction<String> workerAddress;
+
   final World world;
   final Net net;
   final StateStandIn state;
@@ -105,6 +113,23 @@
   }
 
   Scene(RandomGenerator random, int capacity, long reportMs, long leaseMs, long cancelMs) {
+    this(random, capacity, reportMs, leaseMs, cancelMs, SIMULATED_WORKER_ADDRESS);
+    labels().forEach(this::start);
+    sweep();
+  }
+
+  /**
+   * Everything but the controllers and the checks of the rules, for a driver whose controllers are
+   * real processes.
+   */
+  Scene(
+      RandomGenerator random,
+      int capacity,
+      long reportMs,
+      long leaseMs,
+      long cancelMs,
+      IntFunction<String> workerAddress) {
+    this.workerAddress = workerAddress;
     this.reportMs = reportMs;
     this.leaseMs = leaseMs;
     this.cancelMs = cancelMs;
@@ -116,8 +141,6 @@
     net.controllers = labels().stream().map(this::address).toList();
     net.serve(STATE, "regional", state);
     net.serve(CLOUD, "regional", cloud);
-    labels().forEach(this::start);
-    sweep();
   }
 
   private void sweep() {
@@ -230,7 +253,8 @@
               if (!lost(label, "peers")) {
                 peerFrame(address, frame);
               }
-            });
+            },
+            new WorkMeter(reactor::nanoTime));
     net.serve(
         address(label),
         zone(label),
@@ -406,6 +430,9 @@
 
   /** What a controller answers to the load balancer. */
   boolean ready(String label) {
+    if (!processes.containsKey(label)) {
+      return net.serves(address(label));
+    }
     int[] status = {0};
     if (processes.get(label).alive && !frozen(label) && !lost(label, "users")) {
       processes
--- a/src/test/java/org/fieldtrestle/transport/HttpServerTest.java
+++ b/src/test/java/org/fieldtrestle/transport/HttpServerTest.java
@@ -40,7 +40,8 @@
             new Sockets(6), // four of them for whoever calls
             path -> path.equals("/often"),
             60_000,
-            requestMs);
+            requestMs,
+            new WorkMeter(System::nanoTime));
     return server.start(new InetSocketAddress("127.0.0.1", 0));
   }
 
