--- a/src/test/java/org/fieldtrestle/rehearsal/Scene.java
+++ b/src/test/java/org/fieldtrestle/rehearsal/Scene.java
@@ -65,6 +65,11 @@
     /** Until when it stands still, while its clocks run on and what comes for it piles up. */
     long frozenUntil;
 
+    /** How long each of its turns takes, and until when it is busy with those before. */
+    long turnMs;
+
+    long busyUntil;
+
     /** Until when what it says does not leave: it stands still between deciding and sending. */
     long unsentUntil;
 
@@ -352,11 +357,34 @@
     long wait = process.frozenUntil - world.now();
     if (wait > 0) {
       world.after(wait, () -> process.alive, () -> turn(process, work));
+    } else if (process.turnMs > 0) {
+      process.busyUntil = Math.max(process.busyUntil, world.now()) + process.turnMs;
+      world.after(process.busyUntil - world.now(), () -> process.alive, () -> thaw(process, work));
     } else {
       work.run();
     }
   }
 
+  /** Runs what a slow controller has come to, unless it stands still by then. */
+  private void thaw(Process process, Runnable work) {
+    long wait = process.frozenUntil - world.now();
+    if (wait > 0) {
+      world.after(wait, () -> process.alive, () -> thaw(process, work));
+    } else {
+      work.run();
+    }
+  }
+
+  /** Each turn of a controller takes so long from now on, so that all that it does comes late. */
+  void slowDown(String label, long turnMs) {
+    processes.get(label).turnMs = turnMs;
+  }
+
+  /** For how long what comes for a controller now has to wait until it is its turn. */
+  long lagMs(String label) {
+    return Math.max(0, processes.get(label).busyUntil - world.now());
+  }
+
   /** A controller does nothing for a while; then it has everything at once. */
   void freeze(String label, long ms) {
     processes.get(label).frozenUntil = world.now() + ms;
