A task shown by a second machine starts nowhere until it is gone there

Cause: a holder of a master that is cut off and does not know of its end may start a lost task again. The next holder, which found it where it was before, told the second machine to stop it, but once the first had lost it could start it a third time while that stop was still on its way, or hand it on. Ruled out: slowness itself, as the order of messages is all that it takes.

--- a/src/main/java/org/fieldtrestle/coordination/Machines.java
+++ b/src/main/java/org/fieldtrestle/coordination/Machines.java
@@ -1,6 +1,7 @@
 package org.fieldtrestle.coordination;
 
 import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.Iterator;
 import java.util.LinkedHashSet;
 import java.util.List;
@@ -12,6 +13,7 @@
 import org.fieldtrestle.protocol.JobSpec;
 import org.fieldtrestle.protocol.Json;
 import org.fieldtrestle.protocol.Settings;
+import org.fieldtrestle.protocol.TaskId;
 import org.fieldtrestle.protocol.WorkerWire;
 import org.fieldtrestle.transport.Http;
 import org.slf4j.Logger;
@@ -39,6 +41,13 @@
   /** Those that may have something to be told. */
   private final Set<Host> news = new LinkedHashSet<>();
 
+  /**
+   * Tasks that a machine has reported though they are placed on another one, and that machine. A
+   * former holder of this master that does not know of its end may have started them there. Until
+   * they are gone there they must not start anywhere else.
+   */
+  private final Map<TaskId, Host> duplicates = new HashMap<>();
+
   /**
    * Since when machines could be heard without a break. A controller that stood still, or that was
    * not entitled to answer, has heard of none: their silence before says nothing of them.
@@ -366,6 +375,7 @@
     boolean changed = false;
     int shown = 0;
     host.ghosts.clear();
+    duplicates.values().removeIf(holder -> holder == host);
     for (WorkerWire.ReportedTask reported : report.tasks()) {
       Placed task = host.placed(reported.task());
       if (task == null || task.attempt != reported.attempt()) {
@@ -374,6 +384,7 @@
       }
       if (task == null) {
         host.ghosts.add(reported);
+        noteDuplicate(host, reported);
       } else {
         shown += task.shownIn == report.seq() ? 0 : 1;
         task.shownIn = report.seq();
@@ -400,6 +411,21 @@
     return changed;
   }
 
+  private void noteDuplicate(Host host, WorkerWire.ReportedTask reported) {
+    OwnedRange range = ranges.of(reported.task());
+    if (range != null
+        && reported.state() != WorkerWire.TaskState.EXITED
+        && !range.isDone(reported.task().index() - range.record.from())) {
+      duplicates.put(reported.task(), host);
+    }
+  }
+
+  /** Whether a task may still be on a machine that it was not placed on. */
+  boolean hasDuplicate(OwnedRange range, int offset) {
+    return !duplicates.isEmpty()
+        && duplicates.containsKey(new TaskId(range.key.job(), range.record.from() + offset));
+  }
+
   /** A task on a machine that we have not placed there in this epoch, or not as this attempt. */
   private Placed found(Host host, WorkerWire.ReportedTask reported, Placed expected) {
     OwnedRange range = ranges.of(reported.task());
@@ -491,6 +517,7 @@
   /** Everything that was on the machine is gone with its session, or with the machine itself. */
   void loseTasks(Host host, String why) {
     host.ghosts.clear();
+    duplicates.values().removeIf(holder -> holder == host);
     boolean hostGone = host.lost || host.returning || !node.view().machines().containsKey(host.id);
     int lost = 0;
     for (Placed task : host.copyOfPlaced()) {
--- a/src/main/java/org/fieldtrestle/coordination/Placement.java
+++ b/src/main/java/org/fieldtrestle/coordination/Placement.java
@@ -215,7 +215,10 @@
       }
       JobSpec spec = range.spec;
       if (spec.kind() == JobSpec.Kind.GANG) {
-        if (range.placed.isEmpty() && range.waiting() > 0 && range.mayRetryAll(now)) {
+        if (range.placed.isEmpty()
+            && range.waiting() > 0
+            && range.mayRetryAll(now)
+            && range.retries.keySet().intStream().noneMatch(o -> machines.hasDuplicate(range, o))) {
           groups.add(
               new Falcon.Waiting<>(
                   new Group(range, -1),
@@ -247,7 +250,7 @@
                 fresh));
       }
       for (var retry : range.retries.int2ObjectEntrySet()) {
-        if (retry.getValue().notBefore <= now) {
+        if (retry.getValue().notBefore <= now && !machines.hasDuplicate(range, retry.getIntKey())) {
           groups.add(
               new Falcon.Waiting<>(
                   new Group(range, retry.getIntKey()),
--- a/src/main/java/org/fieldtrestle/coordination/Rehand.java
+++ b/src/main/java/org/fieldtrestle/coordination/Rehand.java
@@ -66,7 +66,9 @@
     }
     int size = range.record.size();
     int tail = 0;
-    while (tail < size && range.isNowhere(size - 1 - tail)) {
+    while (tail < size
+        && range.isNowhere(size - 1 - tail)
+        && !master.machines().hasDuplicate(range, size - 1 - tail)) {
       tail++;
     }
     return range.spec.kind() == JobSpec.Kind.GANG && tail < size ? 0 : tail;
