--- a/src/test/java/org/fieldtrestle/rehearsal/TroublesTest.java
+++ b/src/test/java/org/fieldtrestle/rehearsal/TroublesTest.java
@@ -11,6 +11,7 @@
 import java.util.Set;
 import java.util.SplittableRandom;
 import java.util.function.BiConsumer;
+import java.util.function.Predicate;
 import java.util.function.Supplier;
 import org.junit.jupiter.api.Test;
 
@@ -456,6 +457,48 @@
     return count;
   }
 
+  /** Some machine that is up and of which a condition holds; null where there is none. */
+  private static WorkerStandIn machine(Scene scene, Predicate<WorkerStandIn> condition) {
+    return scene.cloud.machines.values().stream()
+        .filter(machine -> machine.up && condition.test(machine))
+        .findFirst()
+        .orElse(null);
+  }
+
+  /**
+   * A holder of a master that does not know of its end may start a lost task again, of which the
+   * next holder hears only after it has found the task where it was before.
+   */
+  @Test
+  void aTaskThatAFormerHolderStartedAgainStartsNowhereElseMeanwhile() {
+    // Reports so far apart that going from node to node in vain does not yet count as silence.
+    Scene scene = new Scene(new SplittableRandom(23), 12, 6000, 34_000, 64_000);
+    submit(scene, "job-1", 34, 100_000); // not all machines are full
+    scene.world.runUntil(40_000);
+    WorkerStandIn before = null;
+    WorkerStandIn next = null;
+    String task = null;
+    for (int i = 0; i < 34 && next == null; i++) {
+      String candidate = "job-1/" + i;
+      task = candidate;
+      before = machine(scene, m -> m.holds(candidate));
+      String label = before.reportsTo();
+      next =
+          machine(scene, m -> m.hasRoom(4) && !m.holds(candidate) && m.reportsTo().equals(label));
+    }
+    assertTrue(next != null, "a controller has two machines, one of them with room");
+    before.die();
+    next.startForFormerHolder(task, 1);
+    // It tells so, but cannot be stopped until its lease has run out.
+    next.deafen(60_000);
+    submit(scene, "job-2", 10, 100_000); // takes what looks like room there
+    scene.world.runUntil(45_000);
+    assertTrue(next.holds(task), "it has begun");
+    scene.world.runUntil(300_000);
+    assertQuiet(scene);
+    assertDone(scene, "job-1");
+  }
+
   /** Users count room as room, whatever it is kept for. */
   @Test
   void nothingWaitsForLongBesideRoomThatIsKeptForTheUrgent() {
--- a/src/test/java/org/fieldtrestle/rehearsal/WorkerStandIn.java
+++ b/src/test/java/org/fieldtrestle/rehearsal/WorkerStandIn.java
@@ -414,6 +414,12 @@
     changed();
   }
 
+  /** Takes a start from a holder of its master that does not know of its end. */
+  void startForFormerHolder(String name, long attempt) {
+    start(name, attempt);
+    changed();
+  }
+
   private void start(String name, long attempt) {
     Task task = new Task();
     task.attempt = attempt;
