--- a/src/test/java/org/fieldtrestle/rehearsal/Scene.java
+++ b/src/test/java/org/fieldtrestle/rehearsal/Scene.java
@@ -354,22 +354,26 @@
   }
 
   private void turn(Process process, Runnable work) {
-    long wait = process.frozenUntil - world.now();
-    if (wait > 0) {
-      world.after(wait, () -> process.alive, () -> turn(process, work));
-    } else if (process.turnMs > 0) {
-      process.busyUntil = Math.max(process.busyUntil, world.now()) + process.turnMs;
-      world.after(process.busyUntil - world.now(), () -> process.alive, () -> thaw(process, work));
-    } else {
-      work.run();
-    }
+    whenNotFrozen(
+        process,
+        () -> {
+          if (process.turnMs == 0) {
+            work.run();
+            return;
+          }
+          process.busyUntil = Math.max(process.busyUntil, world.now()) + process.turnMs;
+          world.after(
+              process.busyUntil - world.now(),
+              () -> process.alive,
+              () -> whenNotFrozen(process, work));
+        });
   }
 
-  /** Runs what a slow controller has come to, unless it stands still by then. */
-  private void thaw(Process process, Runnable work) {
+  /** Does something now, or once a controller that stands still goes on. */
+  private void whenNotFrozen(Process process, Runnable work) {
     long wait = process.frozenUntil - world.now();
     if (wait > 0) {
-      world.after(wait, () -> process.alive, () -> thaw(process, work));
+      world.after(wait, () -> process.alive, () -> whenNotFrozen(process, work));
     } else {
       work.run();
     }
--- a/src/test/java/org/fieldtrestle/rehearsal/SlowControllerTest.java
+++ b/src/test/java/org/fieldtrestle/rehearsal/SlowControllerTest.java
@@ -18,22 +18,26 @@
   /** A turn of so many milliseconds leaves a controller busy for most of the time. */
   private static final long SLOW_TURN_MS = 8;
 
-  private static Scene busyScene(long seed, long turnMs) {
+  /** Some jobs run, and every turn of a controller begins to take long. */
+  private static Scene busyScene(long seed, int tasks, long runMs) {
     Scene scene = new Scene(new SplittableRandom(seed), 12);
     for (int i = 0; i < JOBS; i++) {
-      String id = "job-" + i;
       scene.submit(
-          id,
+          "job-" + i,
           job -> {
-            job.tasks = 10;
-            job.runMs = 20_000;
+            job.tasks = tasks;
+            job.runMs = runMs;
           });
     }
     scene.world.runUntil(STEADY_MS);
-    scene.labels().forEach(label -> scene.slowDown(label, turnMs));
+    scene.labels().forEach(label -> scene.slowDown(label, SLOW_TURN_MS));
     return scene;
   }
 
+  private static Scene busyScene(long seed) {
+    return busyScene(seed, 10, 20_000);
+  }
+
   private static void assertAllDone(Scene scene) {
     assertEquals(List.of(), scene.rules.broken);
     for (Scene.Job job : scene.jobs.values()) {
@@ -44,7 +48,7 @@
 
   @Test
   void slowTurnsAloneLoseNoTask() {
-    Scene scene = busyScene(41, SLOW_TURN_MS);
+    Scene scene = busyScene(41);
     int started = scene.rules.starts;
     scene.world.runUntil(STEADY_MS + 250_000);
     assertAllDone(scene);
@@ -54,7 +58,7 @@
   @Test
   void slowTurnsAndAChangeOfLeaderKeepTheRules() {
     for (long seed = 1; seed <= 3; seed++) {
-      Scene scene = busyScene(seed, SLOW_TURN_MS);
+      Scene scene = busyScene(seed);
       scene.trouble(60_000);
       scene.kill("trestle-1", 30_000);
       scene.world.after(5000, () -> scene.cancel(scene.jobs.get("job-2")));
@@ -66,7 +70,7 @@
   @Test
   void slowTurnsAndAnOutageThatOutlastsLeasesKeepTheRules() {
     for (long seed = 1; seed <= 3; seed++) {
-      Scene scene = busyScene(seed, SLOW_TURN_MS);
+      Scene scene = busyScene(seed);
       scene.trouble(80_000);
       scene.cancel(scene.jobs.get("job-1"));
       scene.world.after(500, () -> scene.state.outage(50_000));
@@ -83,18 +87,7 @@
   void aSlowControllerThatStalledAnswersNoReportPastItsLease() {
     for (long seed = 1; seed <= 3; seed++) {
       for (long stallMs : new long[] {4000, 12_000, 32_000}) {
-        Scene scene = new Scene(new SplittableRandom(seed), 12);
-        for (int i = 0; i < JOBS; i++) {
-          String id = "job-" + i;
-          scene.submit(
-              id,
-              job -> {
-                job.tasks = 8;
-                job.runMs = 250_000;
-              });
-        }
-        scene.world.runUntil(STEADY_MS);
-        scene.labels().forEach(label -> scene.slowDown(label, SLOW_TURN_MS));
+        Scene scene = busyScene(seed, 8, 250_000);
         long cutMs = scene.cancelMs * 3;
         scene.trouble(cutMs);
         scene.lose("trestle-0", cutMs, "state", "peers");
@@ -110,7 +103,7 @@
 
   @Test
   void aStormOfQuestionsToSlowControllersForgetsNoJob() {
-    Scene scene = busyScene(43, SLOW_TURN_MS);
+    Scene scene = busyScene(43);
     scene.trouble(40_000);
     for (int i = 0; i < 4000; i++) {
       String id = i % 2 == 0 ? "job-" + i % JOBS : "job-" + (1000 + i);
