--- a/src/test/java/org/fieldtrestle/rehearsal/ProductionSizeTest.java
+++ b/src/test/java/org/fieldtrestle/rehearsal/ProductionSizeTest.java
@@ -6,6 +6,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.SplittableRandom;
+import org.fieldtrestle.transport.HttpClient;
 import org.junit.jupiter.api.Test;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
@@ -55,6 +56,7 @@
 
   private static void day(Deployment deployment, long seed) {
     Scene scene = new Scene(new SplittableRandom(seed), MACHINES, deployment);
+    scene.net.largestAnswer = HttpClient.MAX_RESPONSE;
     AnswerLog answers = new AnswerLog(scene);
     submitAll(scene, answers);
     List<Integer> kinds = new ArrayList<>();
--- a/src/test/java/org/fieldtrestle/rehearsal/Scene.java
+++ b/src/test/java/org/fieldtrestle/rehearsal/Scene.java
@@ -102,10 +102,12 @@
 
   private long calmSince;
 
-  /**
-   * By how much answers to a controller's reads come late, though they were carried out in time.
-   */
-  final Map<String, Long> readAnswersLateMs = new HashMap<>();
+  /** By how much an answer of the state service comes late, though it acted in time. */
+  interface LateAnswers {
+    long late(String controller, String path, byte[] body);
+  }
+
+  LateAnswers stateAnswerLateMs = (controller, path, body) -> 0;
 
   /** Share of jobs that their users call off at the moment at which their last task is done. */
   double cancelAtEnd;
@@ -249,8 +251,8 @@
                       outcome -> {
                         // Watches that are open wait as they would in an outage.
                         long wait = path.startsWith("/watch") ? isolated(label) : 0;
-                        if (path.startsWith("/kv")) {
-                          wait += readAnswersLateMs.getOrDefault(label, 0L);
+                        if (address.equals(STATE)) {
+                          wait += stateAnswerLateMs.late(label, path, body);
                         }
                         world.after(
                             wait,
--- a/src/test/java/org/fieldtrestle/rehearsal/StateAccessTest.java
+++ b/src/test/java/org/fieldtrestle/rehearsal/StateAccessTest.java
@@ -100,9 +100,9 @@
 
   @Test
   void readsThatNeverEndLeaveWritesTheirTurns() {
-    for (int i = 0; i < 200; i++) {
+    for (int i = 0; i < 1000; i++) {
       world.after(
-          i * 50L, () -> store.whenReadAllowed(() -> store.list(Records.FINAL, "", 1, page -> {})));
+          i * 10L, () -> store.whenReadAllowed(() -> store.list(Records.FINAL, "", 1, page -> {})));
     }
     int[] committed = {0};
     for (int i = 0; i < 40; i++) {
