--- a/src/main/java/org/fieldtrestle/coordination/Barrier.java
+++ b/src/main/java/org/fieldtrestle/coordination/Barrier.java
@@ -23,11 +23,6 @@
 final class Barrier {
   private static final int OUTAGE = 503;
 
-  /**
-   * For how many gaps between watches a question waits for one of them before it costs a request.
-   */
-  private static final int WATCH_FIRST_GAPS = 2;
-
   private static final List<StateWire.Condition> NO_CHANGE =
       List.of(new StateWire.Condition(Records.LIVE + "barrier", 0));
 
@@ -76,15 +71,6 @@
     expireLater();
   }
 
-  private long firstWithoutRevision() {
-    for (Waiter waiter : waiters) {
-      if (waiter.revision < 0) {
-        return waiter.askedAt;
-      }
-    }
-    return reactor.now();
-  }
-
   private boolean anyWithoutRevision() {
     return !waiters.isEmpty() && waiters.peekLast().revision < 0;
   }
@@ -94,8 +80,7 @@
       return;
     }
     asking = true;
-    // Where much changes, the watch that is open will serve them without a request of their own.
-    long wait = Math.max(nextAt, firstWithoutRevision() + gapMs * WATCH_FIRST_GAPS) - reactor.now();
+    long wait = nextAt - reactor.now();
     if (wait > 0) {
       reactor.schedule(wait, this::send);
     } else {
