--- a/src/main/java/org/fieldtrestle/LibrarySettings.java
+++ b/src/main/java/org/fieldtrestle/LibrarySettings.java
@@ -23,5 +23,7 @@
     System.setProperty("io.netty.allocator.maxOrder", "4");
     // Or Netty looks through the network interfaces for a name of its own at every start.
     System.setProperty("io.netty.machineId", "00:00:00:00:00:01");
+    // Or Netty loads the management classes to learn its own process id.
+    System.setProperty("io.netty.processId", "1");
   }
 }
--- a/src/main/java/org/fieldtrestle/WarmUp.java
+++ b/src/main/java/org/fieldtrestle/WarmUp.java
@@ -5,6 +5,8 @@
 import java.io.InputStream;
 import java.net.InetSocketAddress;
 import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
 import java.util.Set;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
@@ -15,13 +17,14 @@
 import org.fieldtrestle.protocol.SettingsFile;
 import org.fieldtrestle.transport.HttpClient;
 import org.fieldtrestle.transport.HttpServer;
+import org.fieldtrestle.transport.NettyReactor;
 import org.fieldtrestle.transport.Sockets;
 import org.fieldtrestle.transport.WorkMeter;
 
 /**
  * Run by the build only, to record the classes that a controller loads in an archive: with a small
  * share of a core, loading them anew takes seconds in which workers' leases run out. It loads all
- * classes of its own jar, and lets a controller run some jobs on a machine, so that those of the
+ * classes of its own, and lets a controller run some jobs on a machine, so that those of the
  * libraries and of the JDK that this takes are recorded too.
  */
 public final class WarmUp {
@@ -29,6 +32,7 @@
   private static final long GIVES_UP_AFTER_S = 30;
   private static final long KEPT_MS = 60_000;
   private static final int SOCKETS = 100;
+  private static final String OWN_CLASSES = "org/fieldtrestle/";
 
   private WarmUp() {}
 
@@ -57,7 +61,8 @@
     Sockets sockets = new Sockets(SOCKETS);
     HttpClient client = new HttpClient(group.next(), sockets, Set.of(), SOCKETS, meter);
     CountDownLatch served = new CountDownLatch(1);
-    WarmUpServices services = new WarmUpServices(group.next(), client, served::countDown);
+    WarmUpServices services =
+        new WarmUpServices(new NettyReactor(group.next()), client, served::countDown);
     HttpServer server =
         new HttpServer(group, services, sockets, path -> false, KEPT_MS, KEPT_MS, meter);
     int port = server.start(new InetSocketAddress(LOOPBACK, 0));
@@ -74,17 +79,22 @@
   private static void loadClasses(String jarFile) throws IOException, ClassNotFoundException {
     try (JarFile jar = new JarFile(jarFile)) {
       for (JarEntry entry : (Iterable<JarEntry>) jar.stream()::iterator) {
-        if (entry.getName().endsWith(".class")) {
+        if (entry.getName().startsWith(OWN_CLASSES) && entry.getName().endsWith(".class")) {
           Class.forName(entry.getName().replace('/', '.').replaceAll("\\.class$", ""));
         }
       }
     }
   }
 
-  private static Settings settings(int port) throws IOException, Settings.Invalid {
+  /** The settings are read from a file, as a controller's are. */
+  static Settings settings(int port) throws IOException, Settings.Invalid {
+    Path file = Files.createTempFile("fieldtrestle-warm-up", ".toml");
     try (InputStream in = WarmUp.class.getResourceAsStream("/warm-up.toml")) {
       String text = new String(in.readAllBytes(), StandardCharsets.UTF_8);
-      return SettingsFile.parse(text.replace("PORT", Integer.toString(port)));
+      Files.writeString(file, text.replace("PORT", Integer.toString(port)));
+      return SettingsFile.read(file);
+    } finally {
+      Files.delete(file);
     }
   }
 }
--- a/src/main/java/org/fieldtrestle/WarmUpServices.java
+++ b/src/main/java/org/fieldtrestle/WarmUpServices.java
@@ -3,11 +3,9 @@
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.node.ArrayNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
-import io.netty.channel.EventLoop;
-import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.Map;
-import java.util.concurrent.TimeUnit;
+import java.util.TreeMap;
 import java.util.function.Consumer;
 import org.fieldtrestle.protocol.CloudWire;
 import org.fieldtrestle.protocol.Json;
@@ -15,6 +13,7 @@
 import org.fieldtrestle.protocol.UserWire;
 import org.fieldtrestle.protocol.WorkerWire;
 import org.fieldtrestle.transport.Http;
+import org.fieldtrestle.transport.Reactor;
 
 /**
  * State service, cloud, one worker and one user for the warm-up run: just enough of each for a
@@ -29,13 +28,13 @@
   private static final long TIMEOUT_MS = 2000;
   private static final int TASKS = 3;
 
-  private final EventLoop loop;
+  private final Reactor reactor;
   private final Http.Caller caller;
   private final Runnable done;
   private final Map<String, Task> tasks = new LinkedHashMap<>();
 
-  /** What was written last of each key at the state service. */
-  private final Map<String, JsonNode> written = new HashMap<>();
+  /** The change that wrote each key at the state service last. */
+  private final Map<String, JsonNode> written = new TreeMap<>();
 
   private String ownAddress;
   private String front;
@@ -51,15 +50,15 @@
     String stage = "fetching";
   }
 
-  WarmUpServices(EventLoop loop, Http.Caller caller, Runnable done) {
-    this.loop = loop;
+  WarmUpServices(Reactor reactor, Http.Caller caller, Runnable done) {
+    this.reactor = reactor;
     this.caller = caller;
     this.done = done;
   }
 
   /** Begins to report and to submit jobs, once the addresses are known. */
   void start(String address, String controller) {
-    loop.execute(
+    reactor.execute(
         () -> {
           ownAddress = address;
           front = controller;
@@ -73,11 +72,11 @@
     String path = request.path();
     JsonNode body = Json.parseOrEmpty(request.body());
     if (path.equals(StateWire.WATCH)) {
-      loop.schedule(() -> reply.accept(ok(watched())), STEP_MS, TimeUnit.MILLISECONDS);
+      reactor.schedule(STEP_MS, () -> reply.accept(ok(watched())));
     } else if (path.startsWith(StateWire.KEYS)) {
-      reply.accept(path.equals(StateWire.KEYS) ? ok(nothingListed()) : read(path));
+      reply.accept(path.equals(StateWire.KEYS) ? ok(listed(request.query())) : read(path));
     } else if (path.equals(StateWire.COMMIT)) {
-      body.path("apply").forEach(change -> written.put(change.path("write").asText(), change));
+      body.path("apply").forEach(this::apply);
       reply.accept(ok(Json.object().put("ledger", ++revision)));
     } else if (path.startsWith(StateWire.LEASES)) {
       reply.accept(ok(Json.object().put("permit", 1)));
@@ -99,18 +98,35 @@
 
   // ---- state service and cloud
 
-  private ObjectNode nothingListed() {
-    return Json.object().put("more", false).put("ledger", revision);
+  private void apply(JsonNode change) {
+    if (change.has("write")) {
+      written.put(change.path("write").asText(), change);
+    } else {
+      written.remove(change.path("remove").asText());
+    }
+  }
+
+  private ObjectNode listed(Map<String, String> query) {
+    ObjectNode listing = Json.object().put("more", false).put("ledger", revision);
+    ArrayNode items = listing.putArray("items");
+    for (String key : written.keySet()) {
+      if (key.startsWith(query.get("prefix"))
+          && key.compareTo(query.getOrDefault("from", "")) > 0) {
+        items.add(entry(key));
+      }
+    }
+    return listing;
   }
 
   private Http.Response read(String path) {
     String key = path.substring(StateWire.KEYS.length() + 1);
-    if (!written.containsKey(key)) {
-      return new Http.Response(404, Http.Response.EMPTY);
-    }
+    return written.containsKey(key) ? ok(entry(key)) : new Http.Response(404, Http.Response.EMPTY);
+  }
+
+  private ObjectNode entry(String key) {
     ObjectNode entry = Json.object().put("key", key).put("entry", revision);
     entry.set("v", written.get(key).path("v"));
-    return ok(entry);
+    return entry;
   }
 
   private ObjectNode watched() {
@@ -163,7 +179,7 @@
       tasks.values().forEach(task -> task.stage = next(task.stage));
       call("POST", WorkerWire.REPORT, reportBody(), answer -> carryOut(answer));
     }
-    loop.schedule(this::report, STEP_MS, TimeUnit.MILLISECONDS);
+    reactor.schedule(STEP_MS, this::report);
   }
 
   private static String next(String stage) {
@@ -248,9 +264,9 @@
           Json.object(),
           cancelled -> lookAround());
     } else if (!stage.isEmpty()) {
-      loop.schedule(() -> ask(id), STEP_MS, TimeUnit.MILLISECONDS);
+      reactor.schedule(STEP_MS, () -> ask(id));
     } else {
-      loop.schedule(() -> submit(id), STEP_MS, TimeUnit.MILLISECONDS);
+      reactor.schedule(STEP_MS, () -> submit(id));
     }
   }
 
--- a/src/main/java/org/fieldtrestle/coordination/Controller.java
+++ b/src/main/java/org/fieldtrestle/coordination/Controller.java
@@ -1,7 +1,5 @@
 package org.fieldtrestle.coordination;
 
-import com.github.benmanes.caffeine.cache.Cache;
-import com.github.benmanes.caffeine.cache.Caffeine;
 import java.nio.ByteBuffer;
 import java.util.ArrayList;
 import java.util.HashMap;
@@ -33,6 +31,12 @@
 public final class Controller implements Http.Handler {
   private static final Logger LOG = LoggerFactory.getLogger(Controller.class);
 
+  /** Machines whose record went that are remembered. */
+  private static final int MAX_GONE_MACHINES = 10_000;
+
+  /** Jobs that others have said to be cancelled that are remembered. */
+  private static final int MAX_CANCELLED_JOBS = 10_000;
+
   private final Node node;
   private final Reactor reactor;
   private final View view;
@@ -46,8 +50,7 @@
   private final Set<String> finishing = new HashSet<>();
 
   /** Machines whose record went; a late report must not bring them back. */
-  private final Cache<String, Boolean> gone =
-      Caffeine.newBuilder().maximumSize(10_000).executor(Runnable::run).build();
+  private final RecentEntries<String, Boolean> gone = new RecentEntries<>(MAX_GONE_MACHINES);
 
   private final Set<String> knownMachines = new HashSet<>();
   private final Map<String, Heard> pulses = new HashMap<>();
@@ -83,7 +86,7 @@
             cloud,
             membership,
             loads,
-            Caffeine.newBuilder().maximumSize(10_000).executor(Runnable::run).build(),
+            new RecentEntries<>(MAX_CANCELLED_JOBS),
             new Stats(meter));
     this.handover = new Handover(node);
     this.gateway =
@@ -428,7 +431,7 @@
   private void adopt(WorkerWire.Report report) {
     Master master = masters.get(node.settings().label());
     String id = report.machine();
-    if (master == null || !master.running() || gone.getIfPresent(id) != null || !adopting.add(id)) {
+    if (master == null || !master.running() || gone.get(id) != null || !adopting.add(id)) {
       return;
     }
     node.caller()
--- a/src/main/java/org/fieldtrestle/coordination/EndedJobs.java
+++ b/src/main/java/org/fieldtrestle/coordination/EndedJobs.java
@@ -1,7 +1,5 @@
 package org.fieldtrestle.coordination;
 
-import com.github.benmanes.caffeine.cache.Cache;
-import com.github.benmanes.caffeine.cache.Caffeine;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
@@ -50,8 +48,8 @@
   record Unavailable() implements Outcome {}
 
   private final Store store;
-  private final Cache<String, Records.Final> remembered =
-      Caffeine.newBuilder().maximumSize(MAX_REMEMBERED).executor(Runnable::run).build();
+  private final RecentEntries<String, Records.Final> remembered =
+      new RecentEntries<>(MAX_REMEMBERED);
 
   /** Who asks about jobs that no reading has been sent for yet, by the keys of their ends. */
   private TreeMap<String, List<Consumer<Outcome>>> waiting = new TreeMap<>();
@@ -65,7 +63,7 @@
 
   /** How a job ended, as far as that is remembered; null where it is not. */
   Records.Final remembered(String job) {
-    return remembered.getIfPresent(job);
+    return remembered.get(job);
   }
 
   /** Remembers an end that is durable. */
--- a/src/main/java/org/fieldtrestle/coordination/Node.java
+++ b/src/main/java/org/fieldtrestle/coordination/Node.java
@@ -1,6 +1,5 @@
 package org.fieldtrestle.coordination;
 
-import com.github.benmanes.caffeine.cache.Cache;
 import java.util.List;
 import java.util.random.RandomGenerator;
 import org.fieldtrestle.bookkeeping.Store;
@@ -27,7 +26,7 @@
     Cloud cloud,
     Membership membership,
     Loads loads,
-    Cache<String, Boolean> calledOff,
+    RecentEntries<String, Boolean> calledOff,
     Stats stats) {
 
   /** A task may evict once this part of the time in which it is to start has gone by. */
--- a/src/main/java/org/fieldtrestle/coordination/Ranges.java
+++ b/src/main/java/org/fieldtrestle/coordination/Ranges.java
@@ -97,7 +97,7 @@
               kept.version(),
               kept.record().epoch() < master.epoch,
               node.now() - age);
-      range.calledOff = node.calledOff().getIfPresent(key.job()) != null;
+      range.calledOff = node.calledOff().get(key.job()) != null;
       ranges.put(key, range);
       byJob.computeIfAbsent(key.job(), j -> new ArrayList<>()).add(range);
       refreshJob(range);
--- /dev/null
+++ b/src/main/java/org/fieldtrestle/coordination/RecentEntries.java
@@ -0,0 +1,29 @@
+package org.fieldtrestle.coordination;
+
+import com.github.benmanes.caffeine.cache.Cache;
+import com.github.benmanes.caffeine.cache.Caffeine;
+
+/**
+ * A bounded cache that is set up with its first entry: setting up one takes milliseconds of
+ * processor time, which a controller that has just started needs for its workers.
+ */
+final class RecentEntries<K, V> {
+  private final long maximumSize;
+  private Cache<K, V> cache;
+
+  RecentEntries(long maximumSize) {
+    this.maximumSize = maximumSize;
+  }
+
+  void put(K key, V value) {
+    if (cache == null) {
+      cache = Caffeine.newBuilder().maximumSize(maximumSize).executor(Runnable::run).build();
+    }
+    cache.put(key, value);
+  }
+
+  /** The value of a key, or null where it is not remembered. */
+  V get(K key) {
+    return cache == null ? null : cache.getIfPresent(key);
+  }
+}
--- a/src/main/java/org/fieldtrestle/protocol/Json.java
+++ b/src/main/java/org/fieldtrestle/protocol/Json.java
@@ -1,11 +1,9 @@
 package org.fieldtrestle.protocol;
 
+import com.fasterxml.jackson.core.JsonFactory;
 import com.fasterxml.jackson.core.JsonGenerator;
 import com.fasterxml.jackson.core.JsonParser;
-import com.fasterxml.jackson.core.JsonProcessingException;
-import com.fasterxml.jackson.databind.DeserializationFeature;
 import com.fasterxml.jackson.databind.JsonNode;
-import com.fasterxml.jackson.databind.ObjectMapper;
 import com.fasterxml.jackson.databind.node.ArrayNode;
 import com.fasterxml.jackson.databind.node.JsonNodeFactory;
 import com.fasterxml.jackson.databind.node.ObjectNode;
@@ -13,13 +11,12 @@
 import java.io.IOException;
 import java.io.UncheckedIOException;
 
-/** The one JSON mapper, and the checks that all readers of foreign JSON share. */
+/** The one factory of JSON parsers, and the checks that all readers of foreign JSON share. */
 public final class Json {
   /** What most bodies that are written field by field take at the most. */
   private static final int USUAL_BYTES = 256;
 
-  private static final ObjectMapper MAPPER =
-      new ObjectMapper().enable(DeserializationFeature.FAIL_ON_TRAILING_TOKENS);
+  private static final JsonFactory FACTORY = new JsonFactory();
 
   private Json() {}
 
@@ -41,11 +38,7 @@
   }
 
   public static byte[] bytes(JsonNode node) {
-    try {
-      return MAPPER.writeValueAsBytes(node);
-    } catch (JsonProcessingException e) {
-      throw new IllegalStateException("a JSON tree can always be written", e);
-    }
+    return generated(out -> JsonTree.write(out, node));
   }
 
   /** Writes the fields of an object. */
@@ -55,11 +48,18 @@
 
   /** An object whose fields are written one by one, without a tree of them. */
   static byte[] write(FieldWriter fields) {
+    return generated(
+        out -> {
+          out.writeStartObject();
+          fields.write(out);
+          out.writeEndObject();
+        });
+  }
+
+  private static byte[] generated(FieldWriter content) {
     ByteArrayOutputStream bytes = new ByteArrayOutputStream(USUAL_BYTES);
-    try (JsonGenerator out = MAPPER.getFactory().createGenerator(bytes)) {
-      out.writeStartObject();
-      fields.write(out);
-      out.writeEndObject();
+    try (JsonGenerator out = FACTORY.createGenerator(bytes)) {
+      content.write(out);
     } catch (IOException e) {
       throw new UncheckedIOException("bytes can always be written", e);
     }
@@ -68,13 +68,13 @@
 
   /** Reads a body token by token. */
   static JsonParser parser(byte[] body) throws IOException {
-    return MAPPER.getFactory().createParser(body);
+    return FACTORY.createParser(body);
   }
 
   public static JsonNode parse(byte[] body) throws Malformed {
     JsonNode node;
-    try {
-      node = MAPPER.readTree(body);
+    try (JsonParser parser = FACTORY.createParser(body)) {
+      node = JsonTree.readOnly(parser);
     } catch (IOException e) {
       throw new Malformed("not JSON");
     }
--- a/src/main/java/org/fieldtrestle/protocol/SettingsFile.java
+++ b/src/main/java/org/fieldtrestle/protocol/SettingsFile.java
@@ -1,8 +1,9 @@
 package org.fieldtrestle.protocol;
 
+import com.fasterxml.jackson.core.JsonParser;
 import com.fasterxml.jackson.core.JsonProcessingException;
 import com.fasterxml.jackson.databind.JsonNode;
-import com.fasterxml.jackson.dataformat.toml.TomlMapper;
+import com.fasterxml.jackson.dataformat.toml.TomlFactory;
 import java.io.IOException;
 import java.nio.file.Files;
 import java.nio.file.Path;
@@ -26,14 +27,7 @@
   }
 
   public static Settings parse(String text) throws Settings.Invalid {
-    JsonNode root;
-    try {
-      root = new TomlMapper().readTree(text);
-    } catch (JsonProcessingException e) {
-      throw new Settings.Invalid(
-          "file", "not TOML: " + e.getOriginalMessage().replaceAll("\\s+", " "));
-    }
-    Fields top = new Fields(root, "");
+    Fields top = new Fields(tree(text), "");
     String label = top.text("label");
     List<Settings.Peer> peers = new ArrayList<>();
     Set<String> labels = new HashSet<>(Set.of(label));
@@ -114,6 +108,17 @@
     return settings;
   }
 
+  private static JsonNode tree(String text) throws Settings.Invalid {
+    try (JsonParser parser = new TomlFactory().createParser(text)) {
+      return JsonTree.readOnly(parser);
+    } catch (JsonProcessingException e) {
+      throw new Settings.Invalid(
+          "file", "not TOML: " + e.getOriginalMessage().replaceAll("\\s+", " "));
+    } catch (IOException e) {
+      throw new Settings.Invalid("file", "cannot be read");
+    }
+  }
+
   /** The fields of one table, with the names that errors give them. */
   private record Fields(JsonNode node, String at) {
     String name(String field) {
--- /dev/null
+++ b/src/test/java/org/fieldtrestle/WarmUpServicesTest.java
@@ -0,0 +1,49 @@
+package org.fieldtrestle;
+
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.IOException;
+import java.util.SplittableRandom;
+import org.fieldtrestle.coordination.Controller;
+import org.fieldtrestle.coordination.Tuning;
+import org.fieldtrestle.protocol.Settings;
+import org.fieldtrestle.rehearsal.SimulatedNetwork;
+import org.fieldtrestle.transport.WorkMeter;
+import org.junit.jupiter.api.Test;
+
+/**
+ * The build records the classes of a controller that serves {@link WarmUpServices}. Where these no
+ * longer answer as the controller expects, the run ends early and starts become slower, which
+ * nothing else would tell.
+ */
+class WarmUpServicesTest {
+  private static final int PORT = 4000;
+  private static final String SERVICES = "127.0.0.1:" + PORT;
+  private static final String CONTROLLER = "127.0.0.1:4001";
+  private static final long LONGEST_RUN_MS = 10_000;
+
+  @Test
+  void theWarmUpRunIsServedToItsEnd() throws IOException, Settings.Invalid {
+    boolean[] served = {false};
+    SimulatedNetwork network = new SimulatedNetwork();
+    WarmUpServices services =
+        new WarmUpServices(network.reactor(), network.caller(), () -> served[0] = true);
+    Controller controller =
+        new Controller(
+            WarmUp.settings(PORT),
+            Tuning.DEFAULT,
+            network.reactor(),
+            new SplittableRandom(1),
+            network.caller(),
+            (address, frame) -> {},
+            new WorkMeter(() -> 0));
+    network.serve(SERVICES, services);
+    network.serve(CONTROLLER, controller);
+    controller.start();
+    services.start(SERVICES, CONTROLLER);
+
+    network.runFor(LONGEST_RUN_MS);
+
+    assertTrue(served[0], "the warm-up run should be served to its end");
+  }
+}
