A controller accepts requests only once its own master has begun

Cause: a controller that had just started listened at once. A refused connection sends them on as well. Change: it listens once its master has begun, or after a quarter of a worker's lease, so that users are told when to come again where acting takes long. Tests: the simulated controllers listen as the real ones do. Two tests met that. Questions: a controller is ready for a user only if it listens.

--- a/src/main/java/org/fieldtrestle/ControllerMain.java
+++ b/src/main/java/org/fieldtrestle/ControllerMain.java
@@ -2,6 +2,7 @@
 
 import java.net.InetSocketAddress;
 import java.nio.file.Path;
+import java.util.concurrent.ExecutionException;
 import org.fieldtrestle.coordination.Tuning;
 import org.fieldtrestle.protocol.Settings;
 import org.fieldtrestle.protocol.SettingsFile;
@@ -16,6 +17,9 @@
   /** The exit status where a setting cannot be used. */
   static final int EXIT_INVALID = 2;
 
+  /** The exit status where the address for users and workers cannot be had. */
+  private static final int EXIT_CANNOT_LISTEN = 1;
+
   private static final double BYTES_PER_MB = 1024.0 * 1024.0;
 
   private ControllerMain() {}
@@ -48,7 +52,13 @@
   static void run(Settings settings, Tuning tuning) throws InterruptedException {
     ControllerProcess process = new ControllerProcess(settings, tuning);
     InetSocketAddress front = HttpClient.socket(settings.userAddress());
-    process.start(front, HttpClient.socket(settings.peerAddress()));
+    try {
+      process.start(front, HttpClient.socket(settings.peerAddress())).get();
+    } catch (ExecutionException e) {
+      System.err.println(
+          "fieldtrestle: cannot listen on " + front + ": " + e.getCause().getMessage());
+      System.exit(EXIT_CANNOT_LISTEN); // the event loop would go on
+    }
     process.await();
   }
 }
--- a/src/main/java/org/fieldtrestle/ControllerProcess.java
+++ b/src/main/java/org/fieldtrestle/ControllerProcess.java
@@ -6,6 +6,7 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.SplittableRandom;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import org.fieldtrestle.coordination.Controller;
 import org.fieldtrestle.coordination.Tuning;
@@ -66,15 +67,29 @@
   }
 
   /**
-   * Listens and begins to act.
+   * Begins to act, and listens for users and workers once it does.
    *
-   * @return the port for users and workers
+   * @return completes with the port for users and workers, or with why it cannot listen
    */
-  int start(InetSocketAddress front, InetSocketAddress internal) throws InterruptedException {
-    int port = server.start(front);
+  CompletableFuture<Integer> start(InetSocketAddress front, InetSocketAddress internal)
+      throws InterruptedException {
     peers.start(internal, this::frame);
-    reactor.execute(controller::start);
-    return port;
+    CompletableFuture<Integer> listening = new CompletableFuture<>();
+    reactor.execute(() -> controller.start(() -> listen(front, listening)));
+    return listening;
+  }
+
+  private void listen(InetSocketAddress front, CompletableFuture<Integer> listening) {
+    server
+        .bind(front)
+        .whenComplete(
+            (port, failure) -> {
+              if (failure == null) {
+                listening.complete(port);
+              } else {
+                listening.completeExceptionally(failure);
+              }
+            });
   }
 
   private void frame(ByteBuffer received) {
--- a/src/main/java/org/fieldtrestle/WarmUp.java
+++ b/src/main/java/org/fieldtrestle/WarmUp.java
@@ -9,6 +9,7 @@
 import java.nio.file.Path;
 import java.util.Set;
 import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.ExecutionException;
 import java.util.concurrent.TimeUnit;
 import java.util.jar.JarEntry;
 import java.util.jar.JarFile;
@@ -45,6 +46,7 @@
         | InterruptedException
         | Settings.Invalid
         | ClassNotFoundException
+        | ExecutionException
         | RuntimeException e) {
       e.printStackTrace();
     } finally {
@@ -53,7 +55,11 @@
   }
 
   private static void run(String jar)
-      throws IOException, InterruptedException, Settings.Invalid, ClassNotFoundException {
+      throws IOException,
+          InterruptedException,
+          Settings.Invalid,
+          ClassNotFoundException,
+          ExecutionException {
     LibrarySettings.apply();
     loadClasses(jar);
     NioEventLoopGroup group = new NioEventLoopGroup(1);
@@ -68,7 +74,9 @@
     int port = server.start(new InetSocketAddress(LOOPBACK, 0));
     ControllerProcess controller = new ControllerProcess(settings(port), Tuning.DEFAULT);
     int front =
-        controller.start(new InetSocketAddress(LOOPBACK, 0), new InetSocketAddress(LOOPBACK, 0));
+        controller
+            .start(new InetSocketAddress(LOOPBACK, 0), new InetSocketAddress(LOOPBACK, 0))
+            .get();
     services.start(LOOPBACK + ":" + port, LOOPBACK + ":" + front);
     if (!served.await(GIVES_UP_AFTER_S, TimeUnit.SECONDS)) {
       // A start would be slower for it, and nothing else.
--- a/src/main/java/org/fieldtrestle/coordination/Controller.java
+++ b/src/main/java/org/fieldtrestle/coordination/Controller.java
@@ -37,6 +37,9 @@
   /** Jobs that others have said to be cancelled that are remembered. */
   private static final int MAX_CANCELLED_JOBS = 10_000;
 
+  /** Part of a worker's lease after which requests are accepted whether or not we act. */
+  private static final long LISTEN_AFTER_DIVISOR = 4;
+
   private final Node node;
   private final Reactor reactor;
   private final View view;
@@ -54,6 +57,8 @@
 
   private final Set<String> knownMachines = new HashSet<>();
   private final Map<String, Heard> pulses = new HashMap<>();
+  private Runnable listen;
+  private boolean listening;
 
   public Controller(
       Settings settings,
@@ -118,12 +123,30 @@
     return reactor.now() - heard.at() <= node.reportMs(0.8);
   }
 
-  public void start() {
+  /**
+   * Begins to follow the state and to act.
+   *
+   * @param listen accepts requests of users and workers, called once. Until this controller acts,
+   *     it could answer them only with 503, and requests of all workers at once would keep a small
+   *     share of a core from ever acting in time for their leases; a connection that is refused
+   *     sends them on as well and costs nothing. Where acting takes long, as in an outage of the
+   *     state service, users had better be told when to come again.
+   */
+  public void start(Runnable listen) {
     LOG.info("controller {} in zone {} starts", node.settings().label(), node.settings().zone());
+    this.listen = listen;
     view.listen(this::changed);
     view.start();
     node.cloud().start();
     awaitView();
+    reactor.schedule(node.settings().workerLeaseMs() / LISTEN_AFTER_DIVISOR, this::listenOnce);
+  }
+
+  private void listenOnce() {
+    if (!listening) {
+      listening = true;
+      listen.run();
+    }
   }
 
   private void awaitView() {
@@ -136,11 +159,13 @@
             new Membership.Listener() {
               @Override
               public void began(String name, long epoch, boolean othersMayAct) {
-                Master old = masters.put(name, new Master(node, name, epoch, othersMayAct));
+                Master master =
+                    new Master(node, name, epoch, othersMayAct, Controller.this::listenOnce);
+                Master old = masters.put(name, master);
                 if (old != null) {
                   old.tell(new Master.Ended());
                 }
-                masters.get(name).tell(new Master.Tick());
+                master.tell(new Master.Tick());
               }
 
               @Override
--- a/src/main/java/org/fieldtrestle/coordination/Master.java
+++ b/src/main/java/org/fieldtrestle/coordination/Master.java
@@ -68,6 +68,7 @@
   private final Faults faults;
   private final Rehand rehand;
   private final boolean othersMayAct;
+  private final Runnable activated;
   private final List<Unanswered> unanswered = new ArrayList<>();
   private boolean active;
   private boolean over;
@@ -77,12 +78,13 @@
   private long reportedAt;
   private long tickedAt;
 
-  public Master(Node node, String name, long epoch, boolean othersMayAct) {
+  public Master(Node node, String name, long epoch, boolean othersMayAct, Runnable activated) {
     super(node.reactor());
     this.node = node;
     this.name = name;
     this.epoch = epoch;
     this.othersMayAct = othersMayAct;
+    this.activated = activated;
     this.faults = new Faults(this);
     this.ranges = new Ranges(this);
     this.machines = new Machines(this, ranges);
@@ -282,6 +284,7 @@
         ranges.count());
     fleet.activated();
     passSoon();
+    activated.run();
   }
 
   private void changed(Records.Key key) {
--- a/src/main/java/org/fieldtrestle/transport/HttpServer.java
+++ b/src/main/java/org/fieldtrestle/transport/HttpServer.java
@@ -3,6 +3,7 @@
 import io.netty.bootstrap.ServerBootstrap;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
@@ -25,6 +26,8 @@
 import java.net.InetSocketAddress;
 import java.util.LinkedHashMap;
 import java.util.Map;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ExecutionException;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Predicate;
 import org.slf4j.Logger;
@@ -81,45 +84,68 @@
 
   /** Binds and returns the port it got. */
   public int start(InetSocketAddress address) throws InterruptedException {
-    Channel channel =
-        new ServerBootstrap()
-            .group(group)
-            .channel(NioServerSocketChannel.class)
-            // After a restart all workers come at once; what is not taken in time comes again.
-            .option(ChannelOption.SO_BACKLOG, 4096)
-            .option(ChannelOption.SO_REUSEADDR, true)
-            .childOption(ChannelOption.TCP_NODELAY, true)
-            .childHandler(
-                new ChannelInitializer<SocketChannel>() {
-                  @Override
-                  protected void initChannel(SocketChannel ch) {
-                    if (!sockets.free(false)) {
-                      ch.close();
-                      return;
-                    }
-                    sockets.opened(ch);
-                    owing.put(ch, now());
-                    ch.closeFuture()
-                        .addListener(
-                            closed -> {
-                              owing.remove(ch);
-                              kept.remove(ch);
-                            });
-                    ch.pipeline()
-                        .addLast(new Begin())
-                        .addLast(new HttpServerCodec(MAX_LINE, MAX_HEADERS, MAX_LINE))
-                        .addLast(new HttpObjectAggregator(MAX_BODY, true))
-                        .addLast(new Exchange());
-                  }
-                })
-            .bind(address)
-            .sync()
-            .channel();
+    try {
+      return bind(address).get();
+    } catch (ExecutionException e) {
+      throw new IllegalStateException("cannot listen on " + address, e.getCause());
+    }
+  }
+
+  /** Begins to listen; completes with the port, or with why that failed. */
+  public CompletableFuture<Integer> bind(InetSocketAddress address) {
+    CompletableFuture<Integer> bound = new CompletableFuture<>();
+    bootstrap()
+        .bind(address)
+        .addListener(
+            (ChannelFuture done) -> {
+              if (done.isSuccess()) {
+                closeOverdueRegularly(done.channel());
+                bound.complete(((InetSocketAddress) done.channel().localAddress()).getPort());
+              } else {
+                bound.completeExceptionally(done.cause());
+              }
+            });
+    return bound;
+  }
+
+  private void closeOverdueRegularly(Channel channel) {
     long each = Math.max(1, requestMs / LOOKS);
     channel
         .eventLoop()
         .scheduleWithFixedDelay(this::closeOverdue, each, each, TimeUnit.MILLISECONDS);
-    return ((InetSocketAddress) channel.localAddress()).getPort();
+  }
+
+  private ServerBootstrap bootstrap() {
+    return new ServerBootstrap()
+        .group(group)
+        .channel(NioServerSocketChannel.class)
+        // After a restart all workers come at once; what is not taken in time comes again.
+        .option(ChannelOption.SO_BACKLOG, 4096)
+        .option(ChannelOption.SO_REUSEADDR, true)
+        .childOption(ChannelOption.TCP_NODELAY, true)
+        .childHandler(
+            new ChannelInitializer<SocketChannel>() {
+              @Override
+              protected void initChannel(SocketChannel ch) {
+                if (!sockets.free(false)) {
+                  ch.close();
+                  return;
+                }
+                sockets.opened(ch);
+                owing.put(ch, now());
+                ch.closeFuture()
+                    .addListener(
+                        closed -> {
+                          owing.remove(ch);
+                          kept.remove(ch);
+                        });
+                ch.pipeline()
+                    .addLast(new Begin())
+                    .addLast(new HttpServerCodec(MAX_LINE, MAX_HEADERS, MAX_LINE))
+                    .addLast(new HttpObjectAggregator(MAX_BODY, true))
+                    .addLast(new Exchange());
+              }
+            });
   }
 
   private static long now() {
--- a/src/test/java/org/fieldtrestle/WarmUpServicesTest.java
+++ b/src/test/java/org/fieldtrestle/WarmUpServicesTest.java
@@ -38,8 +38,7 @@
             (address, frame) -> {},
             new WorkMeter(() -> 0));
     network.serve(SERVICES, services);
-    network.serve(CONTROLLER, controller);
-    controller.start();
+    controller.start(() -> network.serve(CONTROLLER, controller));
     services.start(SERVICES, CONTROLLER);
 
     network.runFor(LONGEST_RUN_MS);
--- a/src/test/java/org/fieldtrestle/rehearsal/MeetingsTest.java
+++ b/src/test/java/org/fieldtrestle/rehearsal/MeetingsTest.java
@@ -316,6 +316,14 @@
     assertTrue(taken[0] > 0, "its master was taken while it could still act");
   }
 
+  /** The newest reports that were kept are the first to reach a controller. */
+  private static void deliverNewest(Scene scene, String label, List<Map<String, byte[]>> kept) {
+    if (!kept.isEmpty()) {
+      Map<String, byte[]> newest = kept.get(kept.size() - 1);
+      newest.values().forEach(report -> scene.deliverCopy(label, report));
+    }
+  }
+
   @Test
   void oldReportsArriveAfterNewerOnesAlsoOfEarlierSessions() {
     meet(
@@ -323,6 +331,7 @@
         scene -> {
           submit(scene, 6, 6, 15_000);
           List<Map<String, byte[]>> old = new ArrayList<>();
+          scene.listening = label -> deliverNewest(scene, label, old);
           scene.trouble(140_000);
           for (int i = 0; i < 270; i++) {
             run(scene, 500);
--- a/src/test/java/org/fieldtrestle/rehearsal/Scene.java
+++ b/src/test/java/org/fieldtrestle/rehearsal/Scene.java
@@ -8,6 +8,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.function.Consumer;
 import java.util.function.IntFunction;
 import java.util.random.RandomGenerator;
 import org.fieldtrestle.coordination.Controller;
@@ -273,6 +274,10 @@
               }
             },
             new WorkMeter(reactor::nanoTime));
+    reactor.execute(() -> process.controller.start(() -> listen(label, process)));
+  }
+
+  private void listen(String label, Process process) {
     net.serve(
         address(label),
         zone(label),
@@ -292,7 +297,7 @@
                         }));
           }
         });
-    reactor.execute(process.controller::start);
+    listening.accept(label);
   }
 
   private void send(Process process, Runnable message) {
@@ -316,7 +321,7 @@
   /** A copy of a report arrives at a controller. */
   void deliverCopy(String label, byte[] report) {
     Process to = processes.get(label);
-    if (to.alive) {
+    if (to.alive && net.serves(address(label))) {
       turn(
           to,
           () ->
@@ -326,6 +331,9 @@
     }
   }
 
+  /** Told of each controller that begins to accept requests, before any comes. */
+  Consumer<String> listening = label -> {};
+
   /** Direct commands that any machine carried out long after they were sent. */
   int commandsCarriedOutLate;
 
@@ -482,7 +490,8 @@
       return net.serves(address(label));
     }
     int[] status = {0};
-    if (processes.get(label).alive && !frozen(label) && !lost(label, "users")) {
+    boolean reached = net.serves(address(label)) && !frozen(label) && !lost(label, "users");
+    if (processes.get(label).alive && reached) {
       processes
           .get(label)
           .controller
