--- a/src/main/java/org/fieldtrestle/LibrarySettings.java
+++ b/src/main/java/org/fieldtrestle/LibrarySettings.java
@@ -14,9 +14,8 @@
     System.setProperty("org.slf4j.simpleLogger.log.com.bertramlabs", "off");
     System.setProperty("org.slf4j.simpleLogger.showThreadName", "false");
     System.setProperty("org.slf4j.simpleLogger.showShortLogName", "true");
-    // Buffers come from one small pool, as there is one event loop: a chunk is a page (8 KiB)
-    // doubled
-    // as often as this says.
+    // Buffers come from one small pool, as there is one event loop: a chunk is a page (8 KiB),
+    // doubled as often as this says.
     System.setProperty("io.netty.allocator.type", "pooled");
     System.setProperty("io.netty.allocator.numDirectArenas", "1");
     System.setProperty("io.netty.allocator.numHeapArenas", "1");
--- a/src/main/java/org/fieldtrestle/coordination/StatsPage.java
+++ b/src/main/java/org/fieldtrestle/coordination/StatsPage.java
@@ -44,7 +44,7 @@
     putQuestions(page.putObject("questions"), stats.questions);
     ObjectNode work = page.putObject("work");
     for (WorkMeter.Work kind : WorkMeter.Work.values()) {
-      work.putObject(kind.name().toLowerCase(Locale.ROOT))
+      work.putObject(kind.printedName())
           .put("count", stats.work.count(kind))
           .put("ms", Math.round(stats.work.millis(kind)));
     }
--- a/src/main/java/org/fieldtrestle/protocol/StateWire.java
+++ b/src/main/java/org/fieldtrestle/protocol/StateWire.java
@@ -60,10 +60,6 @@
     return Json.bytes(node);
   }
 
-  public static String getPath(String key) {
-    return KEYS + "/" + key;
-  }
-
   public static String listPath(String prefix, String after, int limit) {
     return KEYS
         + "?prefix="
@@ -99,10 +95,6 @@
     return keys;
   }
 
-  public static Entry readEntry(byte[] body) throws Json.Malformed {
-    return entry(Json.parse(body));
-  }
-
   private static Entry entry(JsonNode node) throws Json.Malformed {
     return new Entry(Json.text(node, "key"), node.path("v"), Json.count(node, "entry"));
   }
--- a/src/main/java/org/fieldtrestle/transport/HttpServer.java
+++ b/src/main/java/org/fieldtrestle/transport/HttpServer.java
@@ -40,6 +40,12 @@
   private static final int MAX_LINE = 4096;
   private static final int MAX_HEADERS = 8192;
 
+  /**
+   * Connections that may wait to be accepted, as after a restart all workers come at once; those
+   * beyond it come again.
+   */
+  private static final int MAX_NOT_ACCEPTED = 4096;
+
   /**
    * How many times in the time that a request may take to arrive connections are looked through.
    */
--- a/src/main/java/org/fieldtrestle/transport/WorkMeter.java
+++ b/src/main/java/org/fieldtrestle/transport/WorkMeter.java
@@ -28,7 +28,12 @@
     PEER_BROADCAST,
     PERIODIC_CHECKS,
     FLEET_SIZING,
-    PLACEMENT
+    PLACEMENT;
+
+    /** The name of this kind of work in the log and on the statistics page. */
+    public String printedName() {
+      return name().toLowerCase(Locale.ROOT);
+    }
   }
 
   private static final int NONE = -1;
@@ -102,7 +107,7 @@
         .forEach(
             work ->
                 text.append(text.length() == 0 ? "" : ", ")
-                    .append(work.name().toLowerCase(Locale.ROOT))
+                    .append(work.printedName())
                     .append(' ')
                     .append(count(work))
                     .append(" in ")
--- a/src/test/java/org/fieldtrestle/rehearsal/LoadDriver.java
+++ b/src/test/java/org/fieldtrestle/rehearsal/LoadDriver.java
@@ -28,7 +28,7 @@
  * State service, cloud, workers and users are the stand-ins of the tests. Run it by hand:
  *
  * <pre>
- * java -cp target/test-classes:target/classes:target/lib/* \
+ * java -cp target/test-classes:target/fieldtrestle.jar \
  *     org.fieldtrestle.rehearsal.LoadDriver MACHINES SECONDS java ... -jar ... --config
  * </pre>
  *
