--- a/src/main/java/org/fieldtrestle/WarmUpServices.java
+++ b/src/main/java/org/fieldtrestle/WarmUpServices.java
@@ -73,8 +73,8 @@
     JsonNode body = Json.parseOrEmpty(request.body());
     if (path.equals(StateWire.WATCH)) {
       reactor.schedule(STEP_MS, () -> reply.accept(ok(watched())));
-    } else if (path.startsWith(StateWire.KEYS)) {
-      reply.accept(path.equals(StateWire.KEYS) ? ok(listed(request.query())) : read(path));
+    } else if (path.equals(StateWire.KEYS)) {
+      reply.accept(ok(listed(request.query())));
     } else if (path.equals(StateWire.COMMIT)) {
       body.path("apply").forEach(this::apply);
       reply.accept(ok(Json.object().put("ledger", ++revision)));
@@ -118,11 +118,6 @@
     return listing;
   }
 
-  private Http.Response read(String path) {
-    String key = path.substring(StateWire.KEYS.length() + 1);
-    return written.containsKey(key) ? ok(entry(key)) : new Http.Response(404, Http.Response.EMPTY);
-  }
-
   private ObjectNode entry(String key) {
     ObjectNode entry = Json.object().put("key", key).put("entry", revision);
     entry.set("v", written.get(key).path("v"));
--- a/src/main/java/org/fieldtrestle/protocol/Json.java
+++ b/src/main/java/org/fieldtrestle/protocol/Json.java
@@ -74,7 +74,7 @@
   public static JsonNode parse(byte[] body) throws Malformed {
     JsonNode node;
     try (JsonParser parser = FACTORY.createParser(body)) {
-      node = JsonTree.readOnly(parser);
+      node = JsonTree.readSingle(parser);
     } catch (IOException e) {
       throw new Malformed("not JSON");
     }
--- a/src/main/java/org/fieldtrestle/protocol/JsonTree.java
+++ b/src/main/java/org/fieldtrestle/protocol/JsonTree.java
@@ -27,7 +27,7 @@
    * @return null where there is no value, or more than one
    * @throws IOException if the input is not well formed
    */
-  static JsonNode readOnly(JsonParser parser) throws IOException {
+  static JsonNode readSingle(JsonParser parser) throws IOException {
     if (parser.nextToken() == null) {
       return null;
     }
@@ -44,7 +44,6 @@
       case VALUE_NUMBER_FLOAT -> NODES.numberNode(parser.getDoubleValue());
       case VALUE_TRUE -> NODES.booleanNode(true);
       case VALUE_FALSE -> NODES.booleanNode(false);
-      case VALUE_EMBEDDED_OBJECT -> NODES.textNode(parser.getText());
       default -> NODES.nullNode();
     };
   }
--- a/src/main/java/org/fieldtrestle/protocol/SettingsFile.java
+++ b/src/main/java/org/fieldtrestle/protocol/SettingsFile.java
@@ -110,7 +110,7 @@
 
   private static JsonNode tree(String text) throws Settings.Invalid {
     try (JsonParser parser = new TomlFactory().createParser(text)) {
-      return JsonTree.readOnly(parser);
+      return JsonTree.readSingle(parser);
     } catch (JsonProcessingException e) {
       throw new Settings.Invalid(
           "file", "not TOML: " + e.getOriginalMessage().replaceAll("\\s+", " "));
--- a/src/test/java/org/fieldtrestle/protocol/JsonTreeTest.java
+++ b/src/test/java/org/fieldtrestle/protocol/JsonTreeTest.java
@@ -9,6 +9,7 @@
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.ObjectMapper;
 import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.io.IOException;
 import java.nio.charset.StandardCharsets;
 import net.jqwik.api.Arbitraries;
 import net.jqwik.api.Arbitrary;
@@ -69,7 +70,7 @@
   private static JsonNode asRead(JsonNode node) {
     try {
       return MAPPER.readTree(MAPPER.writeValueAsBytes(node));
-    } catch (java.io.IOException e) {
+    } catch (IOException e) {
       throw new IllegalStateException(e);
     }
   }
