Failing tests of the incident: cancelled tasks are started again, or go on

Need: the users' incident, reproduced before anything is changed. A job whose ranges only its own record names is cancelled at the controller that leads it; the watch answers that would show that controller its own commit are lost.

Change: ConfirmedCancellationTest, three cases: an outage begins at the answer to the commit and the watch goes on afterwards; the state is read from the start instead; the watch is merely late and a machine is lost meanwhile. The rehearsal can lose single answers of the state service. Ranges that have records of their own were found not to show it: their version lies below what is followed, so that they end at once.

--- /dev/null
+++ b/src/test/java/org/fieldtrestle/rehearsal/ConfirmedCancellationTest.java
@@ -0,0 +1,173 @@
+package org.fieldtrestle.rehearsal;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.List;
+import java.util.SplittableRandom;
+import java.util.concurrent.atomic.AtomicInteger;
+import java.util.function.Consumer;
+import org.junit.jupiter.api.Test;
+
+/**
+ * Incident: cancelled tasks were started again at production size.
+ *
+ * <p>Seen: a job was confirmed as cancelled, the state service was out for 75 s, and just after the
+ * outage five tasks of the job were started once more and stopped 130 ms later.
+ *
+ * <p>How it came about: the controller that confirmed the cancellation also led the job's range. It
+ * learned of the end of the job by the answer to its own commit, the outage began before its next
+ * watch was answered, and after the outage a placement pass ran before the next periodic check.
+ *
+ * <p>Cause: whether a range has ended was a flag that only that check set, and only once the state
+ * had been followed past the range's own version; nothing asked again when a task was started.
+ *
+ * <p>Proof: each test loses exactly the watch answers that would have shown the controller its own
+ * commit. Then none of the job's tasks may be started, and all of them are to be stopped.
+ */
+class ConfirmedCancellationTest {
+  private static final int SEEDS = 3;
+
+  /** Reports, leases and cancellations of the two large deployments and of a small one, in ms. */
+  private static final long[][] FIGURES = {
+    {4000, 22_000, 52_000}, {6000, 34_000, 64_000}, {2500, 16_000, 46_000}
+  };
+
+  private static final int MACHINES = 90;
+
+  /** Each fills a machine, so that after an outage many machines report within a moment. */
+  private static final int TASKS = 60;
+
+  private static final long LONG_RUN_MS = 400_000;
+
+  /** After how long the fleet is up and everything runs. */
+  private static final long SETTLED_MS = 60_000;
+
+  private static void forEachDeployment(Consumer<Scene> scenario) {
+    for (long[] figures : FIGURES) {
+      for (long seed = 1; seed <= SEEDS; seed++) {
+        Scene scene =
+            new Scene(new SplittableRandom(seed), MACHINES, figures[0], figures[1], figures[2]);
+        scenario.accept(scene);
+        String where = "seed " + seed + ", lease " + figures[1];
+        assertEquals(List.of(), scene.rules.broken, where);
+        assertEquals(0, scene.rules.orderedAfterCancel, "started after the confirmation; " + where);
+      }
+    }
+  }
+
+  /**
+   * A job whose ranges its own record alone names: they get records of their own in the transaction
+   * that cancels it. As its tasks are spread over the zones, none is handed on while it waits.
+   */
+  private static Scene.Job runningJob(Scene scene) {
+    Scene.Job job =
+        scene.submit(
+            "job-1",
+            one -> {
+              one.tasks = TASKS;
+              one.cpus = CloudStandIn.CPUS;
+              one.runMs = LONG_RUN_MS;
+              one.spread = true;
+            });
+    run(scene, SETTLED_MS);
+    assertTrue(scene.rules.on(job.id) >= TASKS / 2, "it runs");
+    assertEquals(0, scene.state.rangeRecordsOf(job.id), "its ranges have no records of their own");
+    return job;
+  }
+
+  private static void run(Scene scene, long ms) {
+    scene.world.runUntil(scene.world.now() + ms);
+  }
+
+  private static boolean endsAJob(String path, byte[] body) {
+    return path.equals("/commit") && new String(body).contains("ft/final/");
+  }
+
+  /**
+   * Cancels a job at the controller that leads it, and loses that controller's watch answers from
+   * before the commit on.
+   *
+   * @param confirmed run when the answer to the commit comes in
+   * @return counts the pages of the state that the controller reads from then on
+   */
+  private static AtomicInteger cancelUnwatched(Scene scene, Scene.Job job, Runnable confirmed) {
+    String leader = scene.leaderOf(job);
+    AtomicInteger pagesRead = new AtomicInteger();
+    scene.stateAnswerLateMs =
+        (controller, path, body) -> {
+          if (!controller.equals(leader)) {
+            return 0;
+          }
+          if (endsAJob(path, body)) {
+            confirmed.run();
+          }
+          if (path.startsWith("/kv?")) {
+            pagesRead.incrementAndGet();
+          }
+          return path.startsWith("/watch") ? Scene.LateAnswers.LOST : 0;
+        };
+    scene.cancelAt(leader, job);
+    run(scene, 200);
+    assertEquals("cancelled", scene.rules.lastOf(job.id), "confirmed by its leader");
+    return pagesRead;
+  }
+
+  private static void watchAgain(Scene scene) {
+    scene.stateAnswerLateMs = (controller, path, body) -> 0;
+  }
+
+  @Test
+  void afterAnOutageThatBeganBeforeTheNextWatchNothingOfItIsStarted() {
+    forEachDeployment(
+        scene -> {
+          Scene.Job job = runningJob(scene);
+          long outageMs = scene.cancelMs + 12_000;
+          scene.trouble(outageMs);
+          cancelUnwatched(scene, job, () -> scene.state.outage(outageMs));
+          watchAgain(scene);
+          run(scene, outageMs + 30_000);
+          assertEquals(0, scene.rules.on(job.id));
+        });
+  }
+
+  @Test
+  void afterReadingTheStateFromTheStartNothingOfItIsStarted() {
+    forEachDeployment(
+        scene -> {
+          Scene.Job job = runningJob(scene);
+          String leader = scene.leaderOf(job);
+          long cutMs = scene.cancelMs + 12_000;
+          scene.trouble(cutMs);
+          AtomicInteger pagesRead =
+              cancelUnwatched(scene, job, () -> scene.lose(leader, cutMs, "state"));
+          run(scene, cutMs);
+          for (int i = 0; i < 1000 && pagesRead.get() == 0; i++) {
+            run(scene, 10);
+          }
+          assertTrue(pagesRead.get() > 0, "the state is read from the start");
+          watchAgain(scene);
+          run(scene, 60_000);
+          assertEquals(0, scene.rules.on(job.id));
+        });
+  }
+
+  @Test
+  void whileTheNextWatchIsLateItsTasksAreStoppedAndNotStartedElsewhere() {
+    forEachDeployment(
+        scene -> {
+          Scene.Job job = runningJob(scene);
+          WorkerStandIn first =
+              scene.cloud.machines.values().stream()
+                  .filter(machine -> machine.holds(job.id + "/0"))
+                  .findFirst()
+                  .orElseThrow();
+          cancelUnwatched(scene, job, () -> scene.cloud.remove(first.id));
+          run(scene, scene.reportMs * 2);
+          assertEquals(0, scene.rules.on(job.id), "stopped with the next command");
+          watchAgain(scene);
+          run(scene, 30_000);
+          assertTrue(scene.state.finalOf(job.id).length() > 0);
+        });
+  }
+}
--- a/src/test/java/org/fieldtrestle/rehearsal/Scene.java
+++ b/src/test/java/org/fieldtrestle/rehearsal/Scene.java
@@ -105,6 +105,9 @@
 
   /** By how much an answer of the state service comes late, though it acted in time. */
   interface LateAnswers {
+    /** In place of a delay: the answer never comes, and its request is given up. */
+    long LOST = -1;
+
     long late(String controller, String path, byte[] body);
   }
 
@@ -231,6 +234,7 @@
                 2, () -> process.alive, () -> done.accept(new Http.Answer(503, new byte[0])));
             return;
           }
+          long sentAt = world.now();
           String to = address.equals(STATE) ? "state" : address.equals(CLOUD) ? "cloud" : "workers";
           if (lost(label, to)) {
             Http.Outcome none =
@@ -252,13 +256,18 @@
                       outcome -> {
                         // Watches that are open wait as they would in an outage.
                         long wait = path.startsWith("/watch") ? isolated(label) : 0;
+                        Http.Outcome received = outcome;
                         if (address.equals(STATE)) {
-                          wait += stateAnswerLateMs.late(label, path, body);
+                          long late = stateAnswerLateMs.late(label, path, body);
+                          boolean lost = late == LateAnswers.LOST;
+                          received = lost ? new Http.Unknown("timeout") : outcome;
+                          wait += lost ? sentAt + timeoutMs - world.now() : late;
                         }
+                        Http.Outcome seen = received;
                         world.after(
                             wait,
                             () -> process.alive,
-                            () -> turn(process, () -> done.accept(outcome)));
+                            () -> turn(process, () -> done.accept(seen)));
                       }));
         };
     process.controller =
--- a/src/test/java/org/fieldtrestle/rehearsal/StateStandIn.java
+++ b/src/test/java/org/fieldtrestle/rehearsal/StateStandIn.java
@@ -92,6 +92,11 @@
     return kept == null ? "" : kept.value().toString();
   }
 
+  /** How many ranges of a job have records of their own. */
+  long rangeRecordsOf(String job) {
+    return keys.keySet().stream().filter(key -> key.startsWith("ft/live/range/" + job)).count();
+  }
+
   /** When each master last changed hands, as revisions. */
   List<Long> masterVersions() {
     return keys.entrySet().stream()
