Logs tell who leads, when the fence opens and closes, and what a start rests on

Need: the records of the incident did not show when the controller could act again, what it had read by then, or why it was allowed to start tasks.

Change: lines with key=value fields where leadership begins and ends (epoch, first token, revision), where the fence opens and closes (age of the lease and of the followed state), where the state is followed again after a gap, at the first start since the fence opened, and at each confirmed cancellation (its revision and what is followed). /stats shows the same ages. The fence has become a class of its own, taken out of Membership; when it is open is as before.

--- a/src/main/java/org/fieldtrestle/bookkeeping/View.java
+++ b/src/main/java/org/fieldtrestle/bookkeeping/View.java
@@ -308,6 +308,7 @@
           apply(new StateWire.Entry(key, null, firstRevision));
         }
       }
+      logGap(firstRevision, startedAt);
       freshAt = startedAt;
       advance(firstRevision);
       LOG.info(
@@ -338,6 +339,7 @@
           watching = false;
           if (watched instanceof Store.Changes changes) {
             failedWatches = 0;
+            logGap(changes.events().revision(), lastWatch);
             freshAt = lastWatch;
             changes.events().events().forEach(this::apply);
             advance(changes.events().revision());
@@ -377,6 +379,18 @@
     progressListeners.forEach(Runnable::run);
   }
 
+  /** After a pause in following, as in an outage: what was read then, and how old it had been. */
+  private void logGap(long revision, long asOf) {
+    long gapMs = asOf - freshAt;
+    if (freshAt != Long.MIN_VALUE && gapMs > STALE_WAITS * watchWaitMs) {
+      LOG.atInfo()
+          .addKeyValue("fromRevision", followed)
+          .addKeyValue("toRevision", revision)
+          .addKeyValue("gapMs", gapMs)
+          .log("state followed again");
+    }
+  }
+
   /** Takes in the changes of a transaction of our own without waiting for the watch. */
   public void committed(List<StateWire.Change> changes, long revision) {
     for (StateWire.Change change : changes) {
--- a/src/main/java/org/fieldtrestle/coordination/Gateway.java
+++ b/src/main/java/org/fieldtrestle/coordination/Gateway.java
@@ -457,7 +457,7 @@
               if (result instanceof Store.Committed committed) {
                 ended.remember(id, cancelled);
                 node.view().committed(changes, committed.revision());
-                LOG.info("job {} cancelled", id);
+                logConfirmed(id, committed.revision());
                 peers.cancelled(id);
                 reply.accept(finalAnswer(id, cancelled, true));
               } else if (result instanceof Store.Conflict conflict && tries > 0) {
@@ -477,4 +477,12 @@
               }
             });
   }
+
+  private void logConfirmed(String id, long revision) {
+    LOG.atInfo()
+        .addKeyValue("job", id)
+        .addKeyValue("revision", revision)
+        .addKeyValue("followed", node.view().followed())
+        .log("cancellation confirmed");
+  }
 }
--- a/src/main/java/org/fieldtrestle/coordination/Master.java
+++ b/src/main/java/org/fieldtrestle/coordination/Master.java
@@ -77,6 +77,7 @@
   private long passNotBefore;
   private long reportedAt;
   private long tickedAt;
+  private long loggedOpening;
 
   public Master(Node node, String name, long epoch, boolean othersMayAct, Runnable activated) {
     super(node.reactor());
@@ -128,6 +129,7 @@
       node.stats().work.run(Work.PERIODIC_CHECKS, this::tick);
     } else if (message instanceof Ended) {
       over = true;
+      logLeadership("leadership ends");
       answerAll();
     }
   }
@@ -172,7 +174,7 @@
 
   /** For how long whoever acted as this master before may go on, unaware of its end. */
   long othersActMs() {
-    return othersMayAct ? node.membership().usableMs() : 0;
+    return othersMayAct ? node.membership().fence().usableMs() : 0;
   }
 
   boolean anyUnresolved() {
@@ -223,11 +225,29 @@
     }
     host.usesImage(range.spec.image(), range.spec.imageGb(), type.cacheGb());
     node.stats().placed++;
+    logFirstStart(task);
     Stats.record(node.stats().startWaitMs, now - since);
     LOG.debug(
         "task {} placed after {} ms{}", task, now - since, fetches ? ", fetching its image" : "");
   }
 
+  /** One line for the first start after each time that the fence was closed: what allowed it. */
+  private void logFirstStart(Placed task) {
+    Fence fence = node.membership().fence();
+    if (loggedOpening == fence.openings()) {
+      return;
+    }
+    loggedOpening = fence.openings();
+    LOG.atInfo()
+        .addKeyValue("master", name)
+        .addKeyValue("epoch", epoch)
+        .addKeyValue("revision", node.view().followed())
+        .addKeyValue("leaseAgeMs", fence.leaseAgeMs())
+        .addKeyValue("stateAgeMs", fence.stateAgeMs())
+        .addKeyValue("task", task)
+        .log("first start since the fence opened");
+  }
+
   /** The condition that makes every write of this epoch fail once the next has begun. */
   StateWire.Condition guard() {
     return new StateWire.Condition(Records.master(name), epoch);
@@ -276,17 +296,23 @@
         ranges.sync(new Records.RangeKey(job.getKey(), index));
       }
     }
-    LOG.info(
-        "master {} begins epoch {} with {} machines and {} ranges",
-        name,
-        epoch,
-        machines.count(),
-        ranges.count());
+    logLeadership("leadership begins");
     fleet.activated();
     passSoon();
     activated.run();
   }
 
+  private void logLeadership(String what) {
+    LOG.atInfo()
+        .addKeyValue("master", name)
+        .addKeyValue("epoch", epoch)
+        .addKeyValue("firstToken", firstToken())
+        .addKeyValue("revision", node.view().followed())
+        .addKeyValue("machines", machines.count())
+        .addKeyValue("ranges", ranges.count())
+        .log(what);
+  }
+
   private void changed(Records.Key key) {
     if (!active) {
       return;
--- a/src/main/java/org/fieldtrestle/coordination/Membership.java
+++ b/src/main/java/org/fieldtrestle/coordination/Membership.java
@@ -50,8 +50,8 @@
   private final Map<String, Long> changedAt = new HashMap<>();
 
   private Listener listener;
+  private final Fence fence;
   private long lease;
-  private long leaseAt = Long.MIN_VALUE;
   private boolean registered;
   private boolean busy;
 
@@ -65,6 +65,7 @@
     this.self = settings.label();
     this.boot = boot;
     this.ttlMs = settings.stateLeaseMs();
+    this.fence = new Fence(reactor, view, ttlMs);
   }
 
   public void start(Listener to) {
@@ -74,18 +75,13 @@
     beat();
   }
 
-  /**
-   * Whether the lease holds, counted from the sending of its last good renewal, and the followed
-   * state is as fresh: a watch that no longer hears of cancellations must not keep tasks alive.
-   */
+  /** Whether this controller may act as the masters that it holds. */
   public boolean acting() {
-    long until = reactor.now() - usableMs();
-    return registered && leaseAt > until && view.freshAt() > until;
+    return fence.open();
   }
 
-  /** The lease less what the clocks may drift apart and a turn of the loop may take. */
-  public long usableMs() {
-    return Math.round(ttlMs * (1 - Settings.DRIFT)) - 50;
+  Fence fence() {
+    return fence;
   }
 
   public String self() {
@@ -126,10 +122,11 @@
             return;
           }
           if (renewal == Store.Renewal.KEPT) {
-            leaseAt = Math.max(leaseAt, sent);
+            fence.leaseKept(sent);
           } else if (renewal == Store.Renewal.ENDED) {
             LOG.warn("lease {} has ended, registering again", lease);
             registered = false;
+            fence.leaseEnded();
             register();
           }
         });
@@ -176,7 +173,7 @@
             busy = false;
             registered = true;
             lease = granted;
-            leaseAt = sent;
+            fence.leaseKept(sent);
             LOG.info("registered as {} under lease {}", self, granted);
             if (take) {
               begin(self, committed.revision(), othersMayAct);
--- a/src/main/java/org/fieldtrestle/coordination/StatsPage.java
+++ b/src/main/java/org/fieldtrestle/coordination/StatsPage.java
@@ -17,6 +17,10 @@
     page.put("controller", node.settings().label());
     page.put("acting", node.acting());
     page.put("revision", node.view().followed());
+    Fence fence = node.membership().fence();
+    page.put("leaseAgeMs", fence.leaseAgeMs());
+    page.put("stateAgeMs", fence.stateAgeMs());
+    page.put("fenceOpenings", fence.openings());
     page.put("liveJobs", node.view().jobs().size());
     ObjectNode held = page.putObject("masters");
     for (Master master : masters) {
