Starts, stops and acknowledgements are decided in one place, at the moment of acting

Cause: a job confirmed as cancelled here counted as ended only once the state had been followed past its range's own version, and only when a message or a periodic check had set a flag on the range. The commit that cancels writes the range, so its version was the commit's own: with the next watch lost to an outage, the leader of the range was the last to know, and a placement pass after the outage could come before the check.

Change: CommandPolicy asks the view, the fence and other controllers' notices whenever a task is placed, a command is put together or a report is answered: a job whose record was seen and is absent has ended, whoever removed it; a job without a readable record, a range that is not ours any more and an epoch that a later one has followed start nothing. Between a change of the state and the message about it nothing is acted on from flags. The state counts as fresh only after what proves it was taken in. Tasks of a job that was cancelled here are stopped with the next command, without waiting for a watch. /stats counts refused starts by reason and cancellations not followed yet; the log says once for a range why its tasks are not stopped yet.

--- a/src/main/java/org/fieldtrestle/bookkeeping/View.java
+++ b/src/main/java/org/fieldtrestle/bookkeeping/View.java
@@ -308,9 +308,7 @@
           apply(new StateWire.Entry(key, null, firstRevision));
         }
       }
-      logGap(firstRevision, startedAt);
-      freshAt = startedAt;
-      advance(firstRevision);
+      advance(firstRevision, startedAt);
       LOG.info(
           "state read up to revision {}: {} jobs, {} machines",
           firstRevision,
@@ -339,10 +337,8 @@
           watching = false;
           if (watched instanceof Store.Changes changes) {
             failedWatches = 0;
-            logGap(changes.events().revision(), lastWatch);
-            freshAt = lastWatch;
             changes.events().events().forEach(this::apply);
-            advance(changes.events().revision());
+            advance(changes.events().revision(), lastWatch);
             long gap = Math.max(0, lastWatch + watchGapMs - reactor.now());
             reactor.schedule(gap, this::watch);
           } else if (watched instanceof Store.TooOld) {
@@ -372,7 +368,13 @@
     }
   }
 
-  private void advance(long revision) {
+  /**
+   * Everything up to a revision has been taken in, and with it everything that was committed before
+   * a time. Only now may anybody act on the state as fresh.
+   */
+  private void advance(long revision, long asOf) {
+    logGap(revision, asOf);
+    freshAt = asOf;
     followed = Math.max(followed, revision);
     removed.values().removeIf(r -> r <= followed);
     settle(w -> w.revision() <= followed, true);
--- a/src/main/java/org/fieldtrestle/coordination/Controller.java
+++ b/src/main/java/org/fieldtrestle/coordination/Controller.java
@@ -34,9 +34,6 @@
   /** Machines whose record went that are remembered. */
   private static final int MAX_GONE_MACHINES = 10_000;
 
-  /** Jobs that others have said to be cancelled that are remembered. */
-  private static final int MAX_CANCELLED_JOBS = 10_000;
-
   /** Part of a worker's lease after which requests are accepted whether or not we act. */
   private static final long LISTEN_AFTER_DIVISOR = 4;
 
@@ -91,7 +88,7 @@
             cloud,
             membership,
             loads,
-            new RecentEntries<>(MAX_CANCELLED_JOBS),
+            new Cancellations(),
             new Stats(meter));
     this.handover = new Handover(node);
     this.gateway =
@@ -136,6 +133,7 @@
     LOG.info("controller {} in zone {} starts", node.settings().label(), node.settings().zone());
     this.listen = listen;
     view.listen(this::changed);
+    view.listenProgress(() -> node.cancellations().followed(view.followed()));
     view.start();
     node.cloud().start();
     awaitView();
@@ -279,8 +277,8 @@
     try {
       PeerWire.Frame read = PeerWire.decode(frame);
       if (read.message() instanceof PeerWire.Cancelled cancelled) { // final, and true at any age
-        node.calledOff().put(cancelled.job(), true);
-        masters.values().forEach(master -> master.tell(new Master.CalledOff(cancelled.job())));
+        node.cancellations().heard(cancelled.job());
+        masters.values().forEach(master -> master.tell(new Master.Cancelled(cancelled.job())));
         return;
       }
       long age = Math.abs(reactor.wall() - read.sentWall());
--- a/src/main/java/org/fieldtrestle/coordination/Fleet.java
+++ b/src/main/java/org/fieldtrestle/coordination/Fleet.java
@@ -426,7 +426,7 @@
       // While a machine has not been heard of, what waits of an inherited range may be there, and
       // none of it may start anyway: else every restart rented a second fleet.
       if (range.spec != null
-          && !range.over()
+          && !master.policy().mustStop(range)
           && range.waiting() > 0
           && !master.ranges().blocked(range)) {
         MachineType type = typeFor(range.spec);
--- a/src/main/java/org/fieldtrestle/coordination/Gateway.java
+++ b/src/main/java/org/fieldtrestle/coordination/Gateway.java
@@ -457,7 +457,7 @@
               if (result instanceof Store.Committed committed) {
                 ended.remember(id, cancelled);
                 node.view().committed(changes, committed.revision());
-                logConfirmed(id, committed.revision());
+                confirmed(id, committed.revision());
                 peers.cancelled(id);
                 reply.accept(finalAnswer(id, cancelled, true));
               } else if (result instanceof Store.Conflict conflict && tries > 0) {
@@ -478,7 +478,9 @@
             });
   }
 
-  private void logConfirmed(String id, long revision) {
+  /** The view has the end of the job already, so that no part of this controller acts on it. */
+  private void confirmed(String id, long revision) {
+    node.cancellations().confirmed(revision);
     LOG.atInfo()
         .addKeyValue("job", id)
         .addKeyValue("revision", revision)
--- a/src/main/java/org/fieldtrestle/coordination/Host.java
+++ b/src/main/java/org/fieldtrestle/coordination/Host.java
@@ -8,6 +8,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.function.Predicate;
 import org.fieldtrestle.protocol.CloudWire.MachineType;
 import org.fieldtrestle.protocol.JobSpec;
 import org.fieldtrestle.protocol.TaskId;
@@ -316,8 +317,8 @@
     return images.containsKey(image);
   }
 
-  /** What the machine is to do now; starts only where {@code starting}. */
-  List<WorkerWire.Command> orders(boolean starting, int most) {
+  /** What the machine is to do now; starts only those tasks that may be. */
+  List<WorkerWire.Command> orders(Predicate<Placed> startable, int most) {
     List<WorkerWire.Command> orders = new ArrayList<>();
     for (WorkerWire.ReportedTask ghost : ghosts) {
       if (ghost.state() != WorkerWire.TaskState.EXITED) {
@@ -337,11 +338,9 @@
         orders.add(new WorkerWire.Stop(task.task, task.attempt, task.graceS));
       }
     }
-    if (starting) {
-      for (Placed task : placed.values()) {
-        if (task.state() == Placed.State.STARTING && !task.stop) {
-          orders.add(new WorkerWire.Start(task.task, task.attempt));
-        }
+    for (Placed task : placed.values()) {
+      if (task.state() == Placed.State.STARTING && !task.stop && startable.test(task)) {
+        orders.add(new WorkerWire.Start(task.task, task.attempt));
       }
     }
     List<WorkerWire.Command> sent = orders.size() > most ? orders.subList(0, most) : orders;
--- a/src/main/java/org/fieldtrestle/coordination/Machines.java
+++ b/src/main/java/org/fieldtrestle/coordination/Machines.java
@@ -31,6 +31,7 @@
   private final Master master;
   private final Node node;
   private final Ranges ranges;
+  private final CommandPolicy policy;
   private final Map<String, Host> hosts = new TreeMap<>();
   private final Usage usage = new Usage();
   private final Lines lines;
@@ -61,6 +62,7 @@
     this.master = master;
     this.node = master.node;
     this.ranges = ranges;
+    this.policy = master.policy();
     this.lines = new Lines(node.settings().workers().reportS());
   }
 
@@ -283,7 +285,7 @@
     if (!resolvedNow(host)) {
       return List.of();
     }
-    List<WorkerWire.Command> orders = host.orders(mayStart(host), MOST_ORDERS);
+    List<WorkerWire.Command> orders = ordersFor(host);
     for (WorkerWire.Command order : orders) {
       Placed task = host.placed(order.task());
       if (task != null && order instanceof WorkerWire.Start) {
@@ -293,6 +295,22 @@
     return orders;
   }
 
+  /** What a machine is to do now, by what is known at this moment. */
+  private List<WorkerWire.Command> ordersFor(Host host) {
+    if (host.placed().stream().anyMatch(this::mustStop)) {
+      host.copyOfPlaced().stream().filter(this::mustStop).forEach(task -> stop(task, 0));
+    }
+    return host.orders(task -> mayStart(host) && mayStart(task), MOST_ORDERS);
+  }
+
+  private boolean mustStop(Placed task) {
+    return task.live() && !task.stop && task.range != null && policy.mustStop(task.range);
+  }
+
+  private boolean mayStart(Placed task) {
+    return task.range != null && policy.mayStart(task.range);
+  }
+
   /** Takes in a report, or the report in the answer to a direct command. */
   private boolean learn(Host host, WorkerWire.Report report) {
     long now = node.now();
@@ -469,7 +487,7 @@
     task.found = true;
     host.put(task);
     range.place(offset, task);
-    if (range.over()) {
+    if (policy.mustStop(range)) {
       stop(task, 0);
     }
     return task;
@@ -612,9 +630,29 @@
     }
   }
 
+  /** Why a task that is to be stopped is still there, as the reader of a log would ask. */
+  String stopPendingBecause(Placed task) {
+    Host host = task.host;
+    if (!policy.mayAcknowledge()) {
+      return "this controller may not act";
+    }
+    if (host.lost || host.returning) {
+      return "its machine is lost or being returned";
+    }
+    if (!resolvedNow(host)) {
+      return "its machine has not shown this epoch's token";
+    }
+    if (!task.stopSent) {
+      return host.quiet() ? "the stop is to be sent" : "the fate of an earlier command is unknown";
+    }
+    return "the machine has not reported its end, last heard "
+        + (node.now() - host.heardAt)
+        + " ms ago";
+  }
+
   private void direct(Host host) {
     // The clears are left for the next report's answer, which is never executed late.
-    List<WorkerWire.Command> orders = new ArrayList<>(host.orders(mayStart(host), MOST_ORDERS));
+    List<WorkerWire.Command> orders = new ArrayList<>(ordersFor(host));
     orders.removeIf(order -> order instanceof WorkerWire.Clear);
     if (orders.isEmpty()) {
       return;
--- a/src/main/java/org/fieldtrestle/coordination/Master.java
+++ b/src/main/java/org/fieldtrestle/coordination/Master.java
@@ -44,8 +44,8 @@
   /** A key that it may care for has changed. */
   public record Changed(Records.Key key) implements Message {}
 
-  /** A job is cancelled, as another controller says. */
-  public record CalledOff(String job) implements Message {}
+  /** Another controller says that a job is cancelled. */
+  public record Cancelled(String job) implements Message {}
 
   /** Time has passed. */
   public record Tick() implements Message {}
@@ -59,6 +59,7 @@
   final Node node;
   final String name;
   final long epoch;
+  private final CommandPolicy policy;
   private final Machines machines;
   private final Ranges ranges;
   private final Placement placement;
@@ -86,6 +87,7 @@
     this.epoch = epoch;
     this.othersMayAct = othersMayAct;
     this.activated = activated;
+    this.policy = new CommandPolicy(node, name, epoch);
     this.faults = new Faults(this);
     this.ranges = new Ranges(this);
     this.machines = new Machines(this, ranges);
@@ -97,6 +99,7 @@
         new Placement(
             node,
             name,
+            policy,
             new Falcon(node.tuning(), node.random()),
             machines,
             ranges,
@@ -123,8 +126,8 @@
           .run(Work.WORKER_REPORT, () -> reported(reported.report(), reported.reply()));
     } else if (message instanceof Changed changed) {
       changed(changed.key());
-    } else if (message instanceof CalledOff calledOff) {
-      ranges.calledOff(calledOff.job());
+    } else if (message instanceof Cancelled cancelled) {
+      ranges.cancelled(cancelled.job());
     } else if (message instanceof Tick) {
       node.stats().work.run(Work.PERIODIC_CHECKS, this::tick);
     } else if (message instanceof Ended) {
@@ -136,6 +139,10 @@
 
   // ---- what its parts ask of each other
 
+  CommandPolicy policy() {
+    return policy;
+  }
+
   Machines machines() {
     return machines;
   }
@@ -153,7 +160,7 @@
   }
 
   boolean running() {
-    return active && !over && node.acting();
+    return active && !over && policy.mayAcknowledge();
   }
 
   boolean isOver() {
@@ -336,7 +343,7 @@
 
   private void reported(WorkerWire.Report report, Consumer<Http.Response> reply) {
     Host host = machines.get(report.machine());
-    if (!active || host == null || !node.acting() || host.returning) {
+    if (host == null || host.returning || !running()) {
       refuse(reply);
       return;
     }
@@ -374,13 +381,14 @@
       return;
     }
     long now = node.now();
-    if (!node.acting() || now - tickedAt > node.reportMs(1)) {
+    if (!running() || now - tickedAt > node.reportMs(1)) {
       machines.heardNobody(now);
     }
     tickedAt = now;
     machines.expire();
     ranges.refreshAll();
-    if (node.acting()) {
+    ranges.logUnstopped(now);
+    if (running()) {
       shares.tick();
       node.stats().work.run(Work.FLEET_SIZING, () -> fleet.tick(now));
       ranges.writePartial(now);
--- a/src/main/java/org/fieldtrestle/coordination/Node.java
+++ b/src/main/java/org/fieldtrestle/coordination/Node.java
@@ -13,7 +13,7 @@
 /**
  * What all actors of one controller share.
  *
- * @param calledOff jobs of which another controller has said that they are cancelled
+ * @param cancellations jobs that are known to be cancelled before the followed state shows it
  */
 public record Node(
     Settings settings,
@@ -26,7 +26,7 @@
     Cloud cloud,
     Membership membership,
     Loads loads,
-    RecentEntries<String, Boolean> calledOff,
+    Cancellations cancellations,
     Stats stats) {
 
   /** A task may evict once this part of the time in which it is to start has gone by. */
--- a/src/main/java/org/fieldtrestle/coordination/OwnedRange.java
+++ b/src/main/java/org/fieldtrestle/coordination/OwnedRange.java
@@ -30,8 +30,14 @@
   /** True once the job is known to have ended while this range still has to be wound up. */
   boolean ended;
 
-  /** Another controller has said that the job is cancelled, which is not followed here yet. */
-  boolean calledOff;
+  /** Another controller has said that the job is cancelled. */
+  boolean cancelled;
+
+  /** Since when its tasks have to be stopped; below 0 while they may run. */
+  long stoppingSince = -1;
+
+  /** It was logged why tasks of it are still to be stopped. */
+  boolean unstoppedLogged;
 
   /** Was there before this epoch began, so that its tasks may be on machines not heard of yet. */
   final boolean inherited;
@@ -80,11 +86,6 @@
     fresh.andNot(record.done());
   }
 
-  /** Nothing of it is to be started any more. */
-  boolean over() {
-    return ended || calledOff;
-  }
-
   boolean has(int taskIndex) {
     return taskIndex >= record.from() && taskIndex < record.to();
   }
--- a/src/main/java/org/fieldtrestle/coordination/Placement.java
+++ b/src/main/java/org/fieldtrestle/coordination/Placement.java
@@ -62,6 +62,7 @@
 
   private final Node node;
   private final String master;
+  private final CommandPolicy policy;
   private final Falcon falcon;
   private final Machines machines;
   private final Ranges ranges;
@@ -76,6 +77,7 @@
   Placement(
       Node node,
       String master,
+      CommandPolicy policy,
       Falcon falcon,
       Machines machines,
       Ranges ranges,
@@ -85,6 +87,7 @@
       Decisions decisions) {
     this.node = node;
     this.master = master;
+    this.policy = policy;
     this.falcon = falcon;
     this.machines = machines;
     this.ranges = ranges;
@@ -210,7 +213,7 @@
   private List<Falcon.Waiting<Group>> waiting(long now) {
     List<Falcon.Waiting<Group>> groups = new ArrayList<>();
     for (OwnedRange range : ranges.all()) {
-      if (range.spec == null || range.over() || ranges.blocked(range)) {
+      if (range.spec == null || range.waiting() == 0 || !mayStart(range)) {
         continue;
       }
       JobSpec spec = range.spec;
@@ -264,6 +267,14 @@
     return groups;
   }
 
+  private boolean mayStart(OwnedRange range) {
+    if (ranges.blocked(range)) {
+      policy.refused(CommandPolicy.StartRefusal.MACHINES_UNRESOLVED);
+      return false;
+    }
+    return policy.mayStart(range);
+  }
+
   private boolean overdue(OwnedRange range, long now) {
     return range.placed.isEmpty()
         && range.retries.isEmpty()
--- a/src/main/java/org/fieldtrestle/coordination/Ranges.java
+++ b/src/main/java/org/fieldtrestle/coordination/Ranges.java
@@ -21,17 +21,22 @@
 final class Ranges {
   private static final Logger LOG = LoggerFactory.getLogger(Ranges.class);
 
+  /** Reports that go by before a task that should have been stopped is worth a line in the log. */
+  private static final double UNSTOPPED_AFTER_REPORTS = 3;
+
   /** Half of what a transaction may hold. */
   private static final int MOST_BYTES = 32 * 1024;
 
   private final Master master;
   private final Node node;
+  private final CommandPolicy policy;
   private final TreeMap<Records.RangeKey, OwnedRange> ranges = new TreeMap<>();
   private final Map<String, List<OwnedRange>> byJob = new HashMap<>();
 
   Ranges(Master master) {
     this.master = master;
     this.node = master.node;
+    this.policy = master.policy();
   }
 
   Iterable<OwnedRange> all() {
@@ -63,7 +68,7 @@
   double waitingCpus() {
     double waiting = 0;
     for (OwnedRange range : ranges.values()) {
-      if (!range.over()) {
+      if (!policy.mustStop(range)) {
         waiting += range.waiting() * range.record.cpus();
       }
     }
@@ -78,9 +83,7 @@
     OwnedRange range = ranges.get(key);
     // One given to a later epoch of this master is not ours, though we may not know yet that we
     // are over: both would start its tasks.
-    if (kept == null
-        || !kept.record().master().equals(master.name)
-        || kept.record().epoch() > master.epoch) {
+    if (!policy.isOurs(kept)) {
       if (range != null) {
         drop(range);
       }
@@ -97,7 +100,7 @@
               kept.version(),
               kept.record().epoch() < master.epoch,
               node.now() - age);
-      range.calledOff = node.calledOff().get(key.job()) != null;
+      range.cancelled = node.cancellations().wasHeard(key.job());
       ranges.put(key, range);
       byJob.computeIfAbsent(key.job(), j -> new ArrayList<>()).add(range);
       refreshJob(range);
@@ -155,17 +158,12 @@
       range.zone = job.job().record().zone();
       return;
     }
-    // Only what has been followed past the range's own writing proves that its job is no more: the
-    // two come in one transaction, but not in one message.
-    if (node.view().version(Records.job(range.key.job())) == 0
-        && node.view().followed() >= range.version) {
+    if (policy.hasEnded(range)) {
       if (!range.ended) {
         range.ended = true;
         LOG.info("job {} has ended, winding up range {}", range.key.job(), range.key);
       }
-      for (Placed task : List.copyOf(range.placed.values())) {
-        master.stop(task, 0);
-      }
+      stopAll(range);
       for (Placed task : range.exited) {
         task.clearable = true;
       }
@@ -176,19 +174,47 @@
   }
 
   /**
-   * Another controller has told a user that a job is cancelled. That is final, so that nothing of
-   * it is started any more and what runs is stopped, though the state service may not have told us.
+   * Another controller has told a user that a job is cancelled. That is final, so that what runs is
+   * stopped, though the state service may not have shown it yet.
    */
-  void calledOff(String job) {
+  void cancelled(String job) {
     for (OwnedRange range : ofJob(job)) {
-      range.calledOff = true;
-      for (Placed task : List.copyOf(range.placed.values())) {
-        master.stop(task, 0);
-      }
+      range.cancelled = true;
+      stopAll(range);
     }
     master.sendDirect();
   }
 
+  private void stopAll(OwnedRange range) {
+    if (range.stoppingSince < 0) {
+      range.stoppingSince = node.now();
+    }
+    for (Placed task : List.copyOf(range.placed.values())) {
+      master.stop(task, 0);
+    }
+  }
+
+  /** Logs once for each range why tasks that should have been stopped are still there. */
+  void logUnstopped(long now) {
+    for (OwnedRange range : ranges.values()) {
+      if (range.stoppingSince < 0
+          || range.unstoppedLogged
+          || range.placed.isEmpty()
+          || now - range.stoppingSince < node.reportMs(UNSTOPPED_AFTER_REPORTS)) {
+        continue;
+      }
+      range.unstoppedLogged = true;
+      Placed task = range.placed.values().iterator().next();
+      LOG.atWarn()
+          .addKeyValue("range", range.key)
+          .addKeyValue("tasks", range.placed.size())
+          .addKeyValue("sinceMs", now - range.stoppingSince)
+          .addKeyValue("example", task)
+          .addKeyValue("because", master.machines().stopPendingBecause(task))
+          .log("cancelled tasks are not stopped yet");
+    }
+  }
+
   void refreshAll() {
     for (OwnedRange range : List.copyOf(ranges.values())) {
       refreshJob(range);
--- a/src/main/java/org/fieldtrestle/coordination/Rehand.java
+++ b/src/main/java/org/fieldtrestle/coordination/Rehand.java
@@ -57,7 +57,7 @@
    */
   private int tail(OwnedRange range) {
     if (range.spec == null
-        || range.over()
+        || master.policy().mustStop(range)
         || range.writing
         || master.ranges().blocked(range)
         || !range.record.caps().isEmpty()
--- a/src/main/java/org/fieldtrestle/coordination/Shares.java
+++ b/src/main/java/org/fieldtrestle/coordination/Shares.java
@@ -102,7 +102,9 @@
     double[] need = used.clone();
     double[] least = {Double.MAX_VALUE, Double.MAX_VALUE};
     for (OwnedRange range : master.ranges().all()) {
-      if (!range.over() && range.record.team().equals(team.name()) && range.waiting() > 0) {
+      if (range.waiting() > 0
+          && range.record.team().equals(team.name())
+          && !master.policy().mustStop(range)) {
         need[0] += range.waiting() * range.record.cpus();
         need[1] += range.waiting() * range.record.gpus();
         least[0] = Math.min(least[0], range.record.cpus());
--- a/src/main/java/org/fieldtrestle/coordination/Stats.java
+++ b/src/main/java/org/fieldtrestle/coordination/Stats.java
@@ -1,5 +1,7 @@
 package org.fieldtrestle.coordination;
 
+import java.util.EnumMap;
+import java.util.Map;
 import org.HdrHistogram.Histogram;
 import org.fieldtrestle.transport.WorkMeter;
 
@@ -18,6 +20,10 @@
   /** What became of users' questions. */
   public final QuestionStats questions = new QuestionStats();
 
+  /** Placement decisions that found a task not allowed to start, by reason. */
+  final Map<CommandPolicy.StartRefusal, Long> startsRefused =
+      new EnumMap<>(CommandPolicy.StartRefusal.class);
+
   public long placed;
 
   /** Of these, for how many the machine had to fetch an image first. */
--- a/src/main/java/org/fieldtrestle/coordination/StatsPage.java
+++ b/src/main/java/org/fieldtrestle/coordination/StatsPage.java
@@ -45,6 +45,12 @@
     counts.put("rented", stats.rented);
     counts.put("returned", stats.returned);
     counts.put("refusedSubmissions", stats.refusedSubmissions);
+    putCancellations(page.putObject("cancellations"), node.cancellations());
+    ObjectNode refused = page.putObject("startsRefused");
+    for (CommandPolicy.StartRefusal reason : CommandPolicy.StartRefusal.values()) {
+      refused.put(
+          reason.name().toLowerCase(Locale.ROOT), stats.startsRefused.getOrDefault(reason, 0L));
+    }
     putQuestions(page.putObject("questions"), stats.questions);
     ObjectNode work = page.putObject("work");
     for (WorkMeter.Work kind : WorkMeter.Work.values()) {
@@ -61,6 +67,12 @@
     return Json.bytes(page);
   }
 
+  private static void putCancellations(ObjectNode page, Cancellations cancellations) {
+    page.put("confirmedHere", cancellations.confirmedCount());
+    page.put("notFollowedYet", cancellations.notFollowedCount());
+    page.put("heardFromOthers", cancellations.heardCount());
+  }
+
   private static void putQuestions(ObjectNode page, QuestionStats questions) {
     page.put("answered", questions.answered());
     page.put("longestSpellMs", questions.longestSpellMs());
--- a/src/test/java/org/fieldtrestle/rehearsal/SimulatedNetwork.java
+++ b/src/test/java/org/fieldtrestle/rehearsal/SimulatedNetwork.java
@@ -1,15 +1,23 @@
 package org.fieldtrestle.rehearsal;
 
+import com.fasterxml.jackson.databind.JsonNode;
+import java.util.Collections;
+import java.util.List;
 import java.util.SplittableRandom;
+import org.fieldtrestle.protocol.Settings;
 import org.fieldtrestle.transport.Http;
 import org.fieldtrestle.transport.Reactor;
 
 /** A network without faults and its time, for tests of other packages. */
 public final class SimulatedNetwork {
+  public static final String STATE_ADDRESS = "10.2.0.1:2379";
+  public static final String CLOUD_ADDRESS = "10.2.0.2:8443";
   private static final String ZONE = "a";
+  private static final int OTHER_CONTROLLERS = 2;
 
   private final World world = new World(new SplittableRandom(1));
   private final Net net = new Net(world);
+  private StateStandIn state;
 
   /** The reactor of a process whose clocks are exact. */
   public Reactor reactor() {
@@ -27,6 +35,42 @@
     net.serve(address, ZONE, handler);
   }
 
+  /** Starts a state service, with nothing in it. */
+  public void serveState() {
+    state = new StateStandIn(world, Deployment.timberFleet());
+    serve(STATE_ADDRESS, state);
+  }
+
+  /** Writes a key at the state service, whoever else may write it. */
+  public void writeState(String key, JsonNode value) {
+    state.damage(key, value);
+  }
+
+  /** For a while the state service answers nobody. */
+  public void stateOutage(long ms) {
+    state.outage(ms);
+  }
+
+  /** The settings of a controller of a large fleet here. */
+  public Settings settings(String label) {
+    return new Settings(
+        label,
+        ZONE,
+        "0.0.0.0:1",
+        "10.0.0.1:1",
+        Collections.nCopies(OTHER_CONTROLLERS, new Settings.Peer("other", ZONE, "10.0.0.2:1")),
+        CLOUD_ADDRESS,
+        STATE_ADDRESS,
+        List.of(ZONE),
+        0,
+        List.of(new Settings.Team("open", 16, 0, 0, 0)),
+        List.of(),
+        new Settings.Workers(6, 34, 64),
+        Deployment.timberFleet().state(),
+        Deployment.timberFleet().cloud(),
+        Deployment.timberFleet().limits());
+  }
+
   /** Lets simulated time pass. */
   public void runFor(long ms) {
     world.runUntil(world.now() + ms);
--- a/src/test/java/org/fieldtrestle/rehearsal/StateAccessTest.java
+++ b/src/test/java/org/fieldtrestle/rehearsal/StateAccessTest.java
@@ -213,4 +213,24 @@
     long firstPages = sent.stream().filter(path -> !path.contains("from=")).count();
     assertEquals(1, firstPages, "pages that were read are kept: " + sent);
   }
+
+  private static String watched(long revision, String change) {
+    return "{\"ledger\":" + revision + ",\"log\":[" + change + "]}";
+  }
+
+  /** Whoever is told of a change must not take the state for fresh before all of it is there. */
+  @Test
+  void theStateIsFreshOnlyOnceAllThatProvesItWasTakenIn() {
+    View view = followed();
+    List<Long> freshWhenTold = new ArrayList<>();
+    view.listen(key -> freshWhenTold.add(view.freshAt()));
+    long before = view.freshAt();
+    String member = "{\"write\":\"ft/live/member/a\",\"v\":{\"f\":1,\"boot\":\"b\"},\"entry\":11}";
+    service = path -> path.contains("from=10&") ? answer(200, watched(11, member)) : null;
+    world.runUntil(world.now() + 20_000);
+    assertEquals(11, view.followed());
+    assertTrue(view.freshAt() > before, "it is fresh afterwards");
+    assertEquals(1, freshWhenTold.size());
+    assertTrue(freshWhenTold.get(0) < view.freshAt(), "but not while the change is taken in");
+  }
 }
