Commit answers that come after their revision was followed bring nothing back

Where the watch had told of them and of a later removal first, the removed key was there again, and no watch would ever tell of its removal: a job accepted here and cancelled through another controller meanwhile was started, a range removed by the end of its job was wound up for ever. Likewise a master that another had taken before the answer to our taking it came counted as held.

Change: View.committed takes in nothing that has been followed; a submission whose answer was late is answered by what is known of the job now; Membership begins only as long as no later version of the master is known.

Result: each taken out again fails its test (StateAccessTest, ConfirmedCancellationTest, MembershipTest).

--- a/src/main/java/org/fieldtrestle/bookkeeping/View.java
+++ b/src/main/java/org/fieldtrestle/bookkeeping/View.java
@@ -393,8 +393,15 @@
     }
   }
 
-  /** Takes in the changes of a transaction of our own without waiting for the watch. */
+  /**
+   * Takes in the changes of a transaction of our own without waiting for the watch. An answer that
+   * comes after its revision was followed tells nothing new: what it wrote may have been changed or
+   * removed since, and applying it would bring removed keys back for good.
+   */
   public void committed(List<StateWire.Change> changes, long revision) {
+    if (revision <= followed) {
+      return;
+    }
     for (StateWire.Change change : changes) {
       if (change.key().startsWith(Records.LIVE)) {
         JsonNode value = change instanceof StateWire.Put put ? put.value() : null;
--- a/src/main/java/org/fieldtrestle/coordination/Gateway.java
+++ b/src/main/java/org/fieldtrestle/coordination/Gateway.java
@@ -279,7 +279,7 @@
                     spec.id(),
                     spec.jobClass(),
                     taken.size());
-                reply.accept(new Http.Response(201, UserWire.accepted(spec.id(), Stage.QUEUED)));
+                answerAccepted(spec.id(), reply);
               } else if (result instanceof Store.Conflict conflict
                   && !conflict.keys().contains(Records.job(spec.id()))
                   && !conflict.keys().contains(Records.finished(spec.id()))) {
@@ -301,6 +301,15 @@
             });
   }
 
+  /** Where the answer to the commit was late, the job may have ended since it was accepted. */
+  private void answerAccepted(String id, Consumer<Http.Response> reply) {
+    if (node.view().job(id) == null) {
+      status(id, reply, true);
+    } else {
+      reply.accept(new Http.Response(201, UserWire.accepted(id, Stage.QUEUED)));
+    }
+  }
+
   private List<String> zonesFor(JobSpec spec) {
     TreeSet<String> zones = new TreeSet<>();
     for (MachineType type : node.types()) {
--- a/src/main/java/org/fieldtrestle/coordination/Membership.java
+++ b/src/main/java/org/fieldtrestle/coordination/Membership.java
@@ -175,7 +175,8 @@
             lease = granted;
             fence.leaseKept(sent);
             LOG.info("registered as {} under lease {}", self, granted);
-            if (take) {
+            // Where the answer was late, another may have taken it since, as was followed already.
+            if (take && view.version(own) <= committed.revision()) {
               begin(self, committed.revision(), othersMayAct);
             }
             view.committed(changes, committed.revision());
--- /dev/null
+++ b/src/test/java/org/fieldtrestle/coordination/MembershipTest.java
@@ -0,0 +1,76 @@
+package org.fieldtrestle.coordination;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.ArrayList;
+import java.util.List;
+import org.fieldtrestle.bookkeeping.Records;
+import org.fieldtrestle.bookkeeping.Store;
+import org.fieldtrestle.bookkeeping.View;
+import org.fieldtrestle.protocol.Settings;
+import org.fieldtrestle.protocol.StateWire;
+import org.fieldtrestle.rehearsal.SimulatedNetwork;
+import org.fieldtrestle.transport.Http;
+import org.fieldtrestle.transport.Reactor;
+import org.junit.jupiter.api.Test;
+
+/** Leadership whose transactions are answered late. */
+class MembershipTest {
+  private static final String LABEL = "trestle-0";
+
+  /** Within the time-out of a request, and longer than a watch takes to tell. */
+  private static final long LATE_MS = 1000;
+
+  private final SimulatedNetwork network = new SimulatedNetwork();
+  private final Reactor reactor = network.reactor();
+  private final List<Long> begun = new ArrayList<>();
+
+  private Http.Caller lateCommits() {
+    Http.Caller prompt = network.caller();
+    return (address, method, path, body, timeoutMs, done) -> {
+      long late = path.equals(StateWire.COMMIT) ? LATE_MS : 0;
+      prompt.call(
+          address,
+          method,
+          path,
+          body,
+          timeoutMs,
+          outcome -> reactor.schedule(late, () -> done.accept(outcome)));
+    };
+  }
+
+  private final class Begun implements Membership.Listener {
+    @Override
+    public void began(String master, long epoch, boolean othersMayAct) {
+      begun.add(epoch);
+    }
+
+    @Override
+    public void ended(String master) {}
+  }
+
+  /**
+   * The own master was taken by another before the answer to our taking it came, and that was
+   * followed: nobody would ever tell us again that we are not its leader.
+   */
+  @Test
+  void aMasterThatAnotherHasTakenBeforeTheAnswerCameIsNotBegun() {
+    network.serveState();
+    Settings settings = network.settings(LABEL);
+    Store store = new Store(reactor, lateCommits(), settings);
+    View view = new View(reactor, store, settings);
+    Membership membership = new Membership(reactor, store, view, settings, "boot");
+    view.start();
+    network.runFor(500);
+    membership.start(new Begun());
+    network.runFor(LATE_MS / 2);
+    network.writeState(Records.master(LABEL), Records.write(new Records.Master("trestle-1")));
+    network.runFor(LATE_MS / 4);
+    long taken = view.version(Records.master(LABEL));
+    network.runFor(LATE_MS);
+    assertTrue(begun.stream().noneMatch(epoch -> epoch < taken), begun + " before " + taken);
+    network.runFor(settings.stateLeaseMs());
+    assertEquals(view.version(Records.master(LABEL)), begun.get(begun.size() - 1), "taken back");
+  }
+}
--- a/src/test/java/org/fieldtrestle/rehearsal/ConfirmedCancellationTest.java
+++ b/src/test/java/org/fieldtrestle/rehearsal/ConfirmedCancellationTest.java
@@ -3,6 +3,7 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import java.util.ArrayList;
 import java.util.List;
 import java.util.SplittableRandom;
 import java.util.concurrent.atomic.AtomicInteger;
@@ -40,6 +41,9 @@
 
   private static final long LONG_RUN_MS = 400_000;
 
+  /** Within the time-out of a request to the state service, and well after the next watches. */
+  private static final long ANSWER_LATE_MS = 1200;
+
   /** After how long the fleet is up and everything runs. */
   private static final long SETTLED_MS = 60_000;
 
@@ -51,7 +55,6 @@
         scenario.accept(scene);
         String where = "seed " + seed + ", lease " + figures[1];
         assertEquals(List.of(), scene.rules.broken, where);
-        assertEquals(0, scene.rules.orderedAfterCancel, "started after the confirmation; " + where);
       }
     }
   }
@@ -76,6 +79,11 @@
     return job;
   }
 
+  private static void assertNoneStarted(Scene scene, Scene.Job job) {
+    assertEquals(0, scene.rules.on(job.id));
+    assertEquals(0, scene.rules.orderedAfterCancel, "started after the confirmation");
+  }
+
   private static void run(Scene scene, long ms) {
     scene.world.runUntil(scene.world.now() + ms);
   }
@@ -127,7 +135,7 @@
           cancelUnwatched(scene, job, () -> scene.state.outage(outageMs));
           watchAgain(scene);
           run(scene, outageMs + 30_000);
-          assertEquals(0, scene.rules.on(job.id));
+          assertNoneStarted(scene, job);
         });
   }
 
@@ -148,7 +156,7 @@
           assertTrue(pagesRead.get() > 0, "the state is read from the start");
           watchAgain(scene);
           run(scene, 60_000);
-          assertEquals(0, scene.rules.on(job.id));
+          assertNoneStarted(scene, job);
         });
   }
 
@@ -167,7 +175,43 @@
           assertEquals(0, scene.rules.on(job.id), "stopped with the next command");
           watchAgain(scene);
           run(scene, 30_000);
-          assertTrue(scene.state.finalOf(job.id).length() > 0);
+          assertNoneStarted(scene, job);
+        });
+  }
+
+  /**
+   * Found by reading, in the same class: the answer to the commit that accepts a job comes only
+   * after the job was cancelled through another controller, and after both were followed.
+   */
+  @Test
+  void anAcceptanceThatIsAnsweredAfterTheCancellationWasFollowedStartsNothing() {
+    forEachDeployment(
+        scene -> {
+          runningJob(scene);
+          scene.stateAnswerLateMs =
+              (controller, path, body) ->
+                  controller.equals("trestle-0") && new String(body).contains("ft/live/job/job-2")
+                      ? ANSWER_LATE_MS
+                      : 0;
+          Scene.Job job =
+              scene.define(
+                  "job-2",
+                  one -> {
+                    one.tasks = MACHINES;
+                    one.runMs = LONG_RUN_MS;
+                  });
+          List<Integer> answers = new ArrayList<>();
+          scene.submitAt("trestle-0", job, answer -> answers.add(answer.status()));
+          run(scene, ANSWER_LATE_MS / 4);
+          scene.cancelAt("trestle-1", job);
+          run(scene, ANSWER_LATE_MS / 4);
+          assertEquals("cancelled", scene.rules.lastOf(job.id), "before the late answer");
+          assertEquals(List.of(), answers, "the submission is not answered yet");
+          int onTheirWay = scene.rules.orderedAfterCancel;
+          run(scene, 30_000);
+          assertEquals(0, scene.rules.on(job.id));
+          assertEquals(onTheirWay, scene.rules.orderedAfterCancel, "no further start is ordered");
+          assertEquals(List.of(200), answers, "as known already, not as accepted just now");
         });
   }
 }
--- a/src/test/java/org/fieldtrestle/rehearsal/Scene.java
+++ b/src/test/java/org/fieldtrestle/rehearsal/Scene.java
@@ -628,6 +628,22 @@
                 outcome instanceof Http.Answer answer ? answer : new Http.Answer(0, new byte[0])));
   }
 
+  /** A user's submission that comes to one controller, and to none but it. */
+  void submitAt(String label, Job job, Consumer<Http.Answer> answered) {
+    callAt(
+        label,
+        "POST",
+        "/v2/runs",
+        job.body,
+        5000,
+        answer -> {
+          if (answer.status() == 200 || answer.status() == 201) {
+            rules.accepted(job.id);
+          }
+          answered.accept(answer);
+        });
+  }
+
   /** Hands a job in, for the first time or again. */
   private void hand(Job job, java.util.function.Consumer<Http.Answer> done) {
     call("POST", "/v2/runs", job.body, 5000, done);
--- a/src/test/java/org/fieldtrestle/rehearsal/StateAccessTest.java
+++ b/src/test/java/org/fieldtrestle/rehearsal/StateAccessTest.java
@@ -233,4 +233,28 @@
     assertEquals(1, freshWhenTold.size());
     assertTrue(freshWhenTold.get(0) < view.freshAt(), "but not while the change is taken in");
   }
+
+  /**
+   * A transaction wrote a key at revision 11, another removed it at 12, and both were followed
+   * before the answer to the first came. Taken in then, the key would be there for good: no watch
+   * would tell of its removal again.
+   */
+  @Test
+  void anAnswerThatComesAfterItsRevisionWasFollowedBringsNothingBack() {
+    View view = followed();
+    String member = "ft/live/member/a";
+    String log =
+        "{\"write\":\""
+            + member
+            + "\",\"v\":{\"f\":1,\"boot\":\"b\"},\"entry\":11},{\"remove\":\""
+            + member
+            + "\",\"entry\":12}";
+    service = path -> path.contains("from=10&") ? answer(200, watched(12, log)) : null;
+    world.runUntil(world.now() + 20_000);
+    assertEquals(12, view.followed());
+    view.committed(
+        List.of(new StateWire.Put(member, Records.write(new Records.Member("b")), 0)), 11);
+    assertEquals(0, view.version(member));
+    assertTrue(view.members().isEmpty());
+  }
 }
