--- a/src/test/java/org/fieldtrestle/rehearsal/Rules.java
+++ b/src/test/java/org/fieldtrestle/rehearsal/Rules.java
@@ -42,6 +42,9 @@
   /** Commands to start a task of a job whose cancellation was confirmed before. */
   int orderedAfterCancel;
 
+  /** How long after a confirmation the latest of these was sent; 0 where there was none. */
+  long orderedLatestAfterCancelMs;
+
   int starts;
   int done;
 
@@ -142,6 +145,7 @@
       return;
     }
     orderedAfterCancel++;
+    orderedLatestAfterCancelMs = Math.max(orderedLatestAfterCancelMs, sentAt - told);
     if (sentAt - told > HEARD_WITHIN_MS && told > scene.calmSince() && scene.net.lost == 0) {
       breaks("started_cancelled", task + " " + (sentAt - told) + " ms after");
     }
