A cancelled task that was given time to save is stopped at once

Cause: the check when commands are put together passed over tasks that were being stopped already, also those that had been given time to save for an eviction.

Change: only a stop without grace counts as done. A test shows a restart just after the confirmation as well; it held before.

Result: MasterDecisionTest.aStopWithTimeToSaveBecomesOneWithout fails without the change (20 s of grace left), passes with it.

--- a/src/main/java/org/fieldtrestle/coordination/Machines.java
+++ b/src/main/java/org/fieldtrestle/coordination/Machines.java
@@ -304,7 +304,8 @@
   }
 
   private boolean mustStop(Placed task) {
-    return task.live() && !task.stop && task.range != null && policy.mustStop(task.range);
+    boolean stopsAtOnce = task.stop && task.graceS <= 0;
+    return task.live() && !stopsAtOnce && task.range != null && policy.mustStop(task.range);
   }
 
   private boolean mayStart(Placed task) {
--- a/src/test/java/org/fieldtrestle/coordination/MasterDecisionTest.java
+++ b/src/test/java/org/fieldtrestle/coordination/MasterDecisionTest.java
@@ -46,6 +46,24 @@
     assertEquals(MasterFixture.TASKS, MasterFixture.orders(fixture.report(), "stop"));
   }
 
+  /** A task that was given time to save is stopped at once when its job is cancelled. */
+  @Test
+  void aStopWithTimeToSaveBecomesOneWithout() {
+    fixture.showToken();
+    fixture.report();
+    fixture.reportRunning();
+    for (Placed task : fixture.range().placed.values()) {
+      fixture.master.stop(task, 20);
+    }
+    assertEquals(MasterFixture.TASKS, MasterFixture.orders(fixture.reportRunning(), "stop"));
+    fixture.commitCancellation();
+    assertEquals(MasterFixture.TASKS, MasterFixture.orders(fixture.reportRunning(), "stop"));
+    assertEquals(MasterFixture.TASKS, fixture.range().placed.size());
+    for (Placed task : fixture.range().placed.values()) {
+      assertEquals(0, task.graceS);
+    }
+  }
+
   @Test
   void aStartThatWasOrderedIsNotRepeatedWhileTheJobsRecordCannotBeRead() {
     fixture.showToken();
--- a/src/test/java/org/fieldtrestle/coordination/MasterFixture.java
+++ b/src/test/java/org/fieldtrestle/coordination/MasterFixture.java
@@ -180,10 +180,28 @@
 
   /** The worker reports without any task; returns the answer. */
   Http.Response report() {
+    return report(List.of());
+  }
+
+  /** The worker reports everything that was placed on it as running; returns the answer. */
+  Http.Response reportRunning() {
+    return report(
+        range().placed.values().stream()
+            .map(
+                task ->
+                    new WorkerWire.ReportedTask(
+                        task.task,
+                        task.attempt,
+                        WorkerWire.TaskState.RUNNING,
+                        WorkerWire.Cause.NONE))
+            .toList());
+  }
+
+  private Http.Response report(List<WorkerWire.ReportedTask> tasks) {
     List<Http.Response> answers = new ArrayList<>();
     WorkerWire.Report report =
         new WorkerWire.Report(
-            MACHINE, WORKER_ADDRESS, "big", "a", true, 1, ++reports, shownToken, -1, List.of());
+            MACHINE, WORKER_ADDRESS, "big", "a", true, 1, ++reports, shownToken, -1, tasks);
     master.tell(new Master.Reported(report, answers::add));
     network.runFor(STEP_MS);
     shownToken = master.firstToken();
--- a/src/test/java/org/fieldtrestle/rehearsal/ConfirmedCancellationTest.java
+++ b/src/test/java/org/fieldtrestle/rehearsal/ConfirmedCancellationTest.java
@@ -160,6 +160,21 @@
         });
   }
 
+  @Test
+  void afterARestartOfTheControllerThatConfirmedItNothingOfItIsStarted() {
+    forEachDeployment(
+        scene -> {
+          Scene.Job job = runningJob(scene);
+          String leader = scene.leaderOf(job);
+          scene.trouble(scene.cancelMs);
+          // Just after the user has the answer.
+          cancelUnwatched(scene, job, () -> scene.world.after(20, () -> scene.kill(leader, 300)));
+          watchAgain(scene);
+          run(scene, scene.cancelMs + 30_000);
+          assertNoneStarted(scene, job);
+        });
+  }
+
   @Test
   void whileTheNextWatchIsLateItsTasksAreStoppedAndNotStartedElsewhere() {
     forEachDeployment(
