--- a/src/test/java/org/fieldtrestle/rehearsal/AnswerLog.java
+++ b/src/test/java/org/fieldtrestle/rehearsal/AnswerLog.java
@@ -31,8 +31,8 @@
   /** The longest spell of a job without an answer. */
   record Spell(String job, long ms, long endedAt) {}
 
-  private final Scene scene;
-  private final World world;
+  private final SimulatedCluster cluster;
+  private final SimulatedTime time;
   private final Set<String> accepted = new HashSet<>();
 
   /** When the first of the questions about a job was asked that have had no answer since. */
@@ -42,9 +42,9 @@
   private final Map<Integer, Integer> statuses = new HashMap<>();
   private Spell longest = new Spell("", 0, 0);
 
-  AnswerLog(Scene scene) {
-    this.scene = scene;
-    this.world = scene.world;
+  AnswerLog(SimulatedCluster cluster) {
+    this.cluster = cluster;
+    this.time = cluster.time;
   }
 
   Spell longest() {
@@ -66,11 +66,11 @@
   }
 
   /** Hands a job in again and again until it is accepted, then asks about it. */
-  void submit(Scene.Job job) {
+  void submit(SimulatedCluster.Job job) {
     submit(job, anyReady());
   }
 
-  private void submit(Scene.Job job, String label) {
+  private void submit(SimulatedCluster.Job job, String label) {
     post(
         label,
         "/v2/runs",
@@ -79,44 +79,44 @@
           if (response.status() == 201 || response.status() == 200) {
             accepted(job);
           } else if (response.status() == 400 || response.status() == 422) {
-            scene.rules.broken.add("refused " + job.id + " with " + response.status());
+            cluster.rules.broken.add("refused " + job.id + " with " + response.status());
           } else {
-            world.after(1000, () -> submit(job, anyReady()));
+            time.after(1000, () -> submit(job, anyReady()));
           }
         });
   }
 
-  private void accepted(Scene.Job job) {
+  private void accepted(SimulatedCluster.Job job) {
     if (!accepted.add(job.id)) {
       return;
     }
-    scene.rules.accepted(job.id);
-    world.after(USER_ASKS_EVERY_MS, () -> ask(job, anyReady()));
-    for (String label : scene.labels()) {
-      world.after(world.between(0, 300), () -> repeat(job, label));
-      world.after(world.between(5000, 120_000), () -> repeat(job, label));
-      world.after(world.between(0, EVERYWHERE_EVERY_MS), () -> askAt(job, label));
+    cluster.rules.accepted(job.id);
+    time.after(USER_ASKS_EVERY_MS, () -> ask(job, anyReady()));
+    for (String label : cluster.labels()) {
+      time.after(time.between(0, 300), () -> repeat(job, label));
+      time.after(time.between(5000, 120_000), () -> repeat(job, label));
+      time.after(time.between(0, EVERYWHERE_EVERY_MS), () -> askAt(job, label));
     }
   }
 
   /** Calls a job off, again and again until that is confirmed. */
-  void cancel(Scene.Job job) {
-    scene.cancelledByUser.add(job.id);
+  void cancel(SimulatedCluster.Job job) {
+    cluster.cancelledByUser.add(job.id);
     post(
         anyReady(),
         "/v2/runs/" + job.id + "/abort",
         Http.Response.EMPTY,
         response -> {
           if (response.status() == 200) {
-            told(job, response, world.now());
+            told(job, response, time.now());
           } else {
-            world.after(1000, () -> cancel(job));
+            time.after(1000, () -> cancel(job));
           }
         });
   }
 
-  private void repeat(Scene.Job job, String label) {
-    long asked = world.now();
+  private void repeat(SimulatedCluster.Job job, String label) {
+    long asked = time.now();
     post(
         label,
         "/v2/runs",
@@ -125,31 +125,32 @@
           if (response.status() == 200) {
             told(job, response, asked);
           } else if (response.status() == 0 || response.status() >= 429) {
-            world.after(USER_ASKS_EVERY_MS, () -> repeat(job, label));
+            time.after(USER_ASKS_EVERY_MS, () -> repeat(job, label));
           } else {
-            scene.rules.broken.add("forgotten: repeated " + job.id + " gets " + response.status());
+            cluster.rules.broken.add(
+                "forgotten: repeated " + job.id + " gets " + response.status());
           }
         });
   }
 
   /** A user's question; the next goes to the same controller while that holds the connection. */
-  private void ask(Scene.Job job, String label) {
-    long asked = world.now();
+  private void ask(SimulatedCluster.Job job, String label) {
+    long asked = time.now();
     question(
         label,
         job,
         response -> {
           told(job, response, asked);
           if (!ended.contains(job.id)) {
-            boolean stays = response.status() > 0 && !response.close() && scene.ready(label);
-            world.after(USER_ASKS_EVERY_MS, () -> ask(job, stays ? label : anyReady()));
+            boolean stays = response.status() > 0 && !response.close() && cluster.ready(label);
+            time.after(USER_ASKS_EVERY_MS, () -> ask(job, stays ? label : anyReady()));
           }
         });
   }
 
   /** Asks at one controller whatever the user heard, at last once more after the job's end. */
-  private void askAt(Scene.Job job, String label) {
-    long asked = world.now();
+  private void askAt(SimulatedCluster.Job job, String label) {
+    long asked = time.now();
     boolean lastTime = ended.contains(job.id);
     question(
         label,
@@ -157,9 +158,9 @@
         response -> {
           told(job, response, asked);
           if (response.status() != 200) {
-            world.after(USER_ASKS_EVERY_MS, () -> askAt(job, label));
+            time.after(USER_ASKS_EVERY_MS, () -> askAt(job, label));
           } else if (!lastTime) {
-            world.after(EVERYWHERE_EVERY_MS, () -> askAt(job, label));
+            time.after(EVERYWHERE_EVERY_MS, () -> askAt(job, label));
           }
         });
   }
@@ -168,12 +169,12 @@
     return Json.parseOrEmpty(response.body()).path("stage").asText();
   }
 
-  private void told(Scene.Job job, Http.Response response, long asked) {
+  private void told(SimulatedCluster.Job job, Http.Response response, long asked) {
     statuses.merge(response.status(), 1, Integer::sum);
     long since = failingSince.computeIfAbsent(job.id, id -> asked);
-    long calmSpell = world.now() - Math.max(since, scene.calmSince());
+    long calmSpell = time.now() - Math.max(since, cluster.calmSince());
     if (calmSpell > longest.ms()) {
-      longest = new Spell(job.id, calmSpell, world.now());
+      longest = new Spell(job.id, calmSpell, time.now());
     }
     String stage = stage(response);
     if (response.status() == 200) {
@@ -182,13 +183,13 @@
         ended.add(job.id);
       }
     }
-    scene.rules.told(job.id, response.status(), stage, asked);
+    cluster.rules.told(job.id, response.status(), stage, asked);
   }
 
   private String anyReady() {
-    List<String> ready = scene.labels().stream().filter(scene::ready).toList();
-    List<String> from = ready.isEmpty() ? scene.labels() : ready;
-    return from.get((int) world.between(0, from.size() - 1));
+    List<String> ready = cluster.labels().stream().filter(cluster::ready).toList();
+    List<String> from = ready.isEmpty() ? cluster.labels() : ready;
+    return from.get((int) time.between(0, from.size() - 1));
   }
 
   /** A submission or a cancellation. */
@@ -196,7 +197,7 @@
     request(label, "POST", path, body, USER_WAITS_TO_SUBMIT_MS, done);
   }
 
-  private void question(String label, Scene.Job job, Consumer<Http.Response> done) {
+  private void question(String label, SimulatedCluster.Job job, Consumer<Http.Response> done) {
     request(label, "GET", "/v2/runs/" + job.id, Http.Response.EMPTY, USER_WAITS_MS, done);
   }
 
@@ -217,19 +218,19 @@
           }
         };
     Http.Response none = new Http.Response(0, Http.Response.EMPTY);
-    world.after(withinMs, () -> once.accept(none));
-    if (!scene.net.serves(scene.address(label))) {
-      world.after(1, () -> once.accept(none));
+    time.after(withinMs, () -> once.accept(none));
+    if (!cluster.net.serves(cluster.address(label))) {
+      time.after(1, () -> once.accept(none));
       return;
     }
-    world.after(
-        world.between(1, 3),
+    time.after(
+        time.between(1, 3),
         () ->
-            scene.net.deliver(
-                scene.address(label),
+            cluster.net.deliver(
+                cluster.address(label),
                 method,
                 path,
                 body,
-                response -> world.after(world.between(1, 3), () -> once.accept(response))));
+                response -> time.after(time.between(1, 3), () -> once.accept(response))));
   }
 }
--- a/src/test/java/org/fieldtrestle/rehearsal/CancellationSweepTest.java
+++ b/src/test/java/org/fieldtrestle/rehearsal/CancellationSweepTest.java
@@ -32,24 +32,24 @@
   private static final long SETTLED_MS = 90_000;
   private static final long AFTERWARDS_MS = 40_000;
 
-  /** What the state service does, given the scene and for how long. */
+  /** What the state service does, given the cluster and for how long. */
   private interface Failure {
-    void begin(Scene scene, long ms);
+    void begin(SimulatedCluster cluster, long ms);
   }
 
   @Test
   void whereTheStateServiceRefusesEverybody() {
-    sweep((scene, ms) -> scene.state.outage(ms));
+    sweep((cluster, ms) -> cluster.state.outage(ms));
   }
 
   @Test
   void whereTheStateServiceRefusesOneController() {
-    sweep((scene, ms) -> scene.isolate("trestle-" + scene.world.between(0, 2), ms));
+    sweep((cluster, ms) -> cluster.isolate("trestle-" + cluster.time.between(0, 2), ms));
   }
 
   @Test
   void whereTheStateServiceIsSlow() {
-    sweep((scene, ms) -> scene.net.slow(Scene.STATE, 700, ms));
+    sweep((cluster, ms) -> cluster.net.slow(SimulatedCluster.STATE, 700, ms));
   }
 
   private static void sweep(Failure failure) {
@@ -61,47 +61,50 @@
   }
 
   private static void play(Failure failure, int offsetMs, List<String> failed) {
-    Scene scene = new Scene(new SplittableRandom(offsetMs + 1), MACHINES, Deployment.timberFleet());
-    scene.net.largestAnswer = HttpClient.MAX_RESPONSE;
-    List<Scene.Job> jobs = submitJobs(scene);
-    scene.world.runUntil(SETTLED_MS);
-    List<Scene.Job> running =
-        jobs.stream().filter(job -> scene.rules.on(job.id) > 0).limit(CANCELLED).toList();
+    SimulatedCluster cluster =
+        new SimulatedCluster(
+            new SplittableRandom(offsetMs + 1), MACHINES, Deployment.timberFleet());
+    cluster.net.largestAnswer = HttpClient.MAX_RESPONSE;
+    List<SimulatedCluster.Job> jobs = submitJobs(cluster);
+    cluster.time.runUntil(SETTLED_MS);
+    List<SimulatedCluster.Job> running =
+        jobs.stream().filter(job -> cluster.rules.on(job.id) > 0).limit(CANCELLED).toList();
     assertEquals(CANCELLED, running.size(), "enough jobs run");
-    long failsMs = scene.cancelMs + 12_000;
-    scene.trouble(failsMs + offsetMs);
+    long failsMs = cluster.cancelMs + 12_000;
+    cluster.trouble(failsMs + offsetMs);
     for (int i = 0; i < CANCELLED; i++) {
-      Scene.Job job = running.get(i);
-      scene.world.after(i * CANCELLED_WITHIN_MS / CANCELLED, () -> scene.cancel(job));
+      SimulatedCluster.Job job = running.get(i);
+      cluster.time.after(i * CANCELLED_WITHIN_MS / CANCELLED, () -> cluster.cancel(job));
     }
-    scene.world.after(offsetMs, () -> failure.begin(scene, failsMs));
-    scene.world.runUntil(SETTLED_MS + failsMs + AFTERWARDS_MS);
+    cluster.time.after(offsetMs, () -> failure.begin(cluster, failsMs));
+    cluster.time.runUntil(SETTLED_MS + failsMs + AFTERWARDS_MS);
     String where = "failing from " + offsetMs + " ms on";
     LOG.info(
         "{}: {} starts ordered after a confirmation, the latest {} ms after, broken {}",
         where,
-        scene.rules.orderedAfterCancel,
-        scene.rules.orderedLatestAfterCancelMs,
-        scene.rules.broken.stream().limit(5).toList());
-    if (!scene.rules.broken.isEmpty()) {
-      failed.add(where + ": " + scene.rules.broken.size() + " times " + scene.rules.broken.get(0));
+        cluster.rules.orderedAfterCancel,
+        cluster.rules.orderedLatestAfterCancelMs,
+        cluster.rules.broken.stream().limit(5).toList());
+    if (!cluster.rules.broken.isEmpty()) {
+      failed.add(
+          where + ": " + cluster.rules.broken.size() + " times " + cluster.rules.broken.get(0));
     }
-    if (scene.rules.orderedLatestAfterCancelMs > scene.cancelMs - scene.leaseMs) {
-      failed.add(where + ": a start after " + scene.rules.orderedLatestAfterCancelMs + " ms");
+    if (cluster.rules.orderedLatestAfterCancelMs > cluster.cancelMs - cluster.leaseMs) {
+      failed.add(where + ": a start after " + cluster.rules.orderedLatestAfterCancelMs + " ms");
     }
-    for (Scene.Job job : running) {
-      if (scene.rules.on(job.id) > 0) {
+    for (SimulatedCluster.Job job : running) {
+      if (cluster.rules.on(job.id) > 0) {
         failed.add(where + ": " + job.id + " is still on machines");
       }
     }
   }
 
-  private static List<Scene.Job> submitJobs(Scene scene) {
+  private static List<SimulatedCluster.Job> submitJobs(SimulatedCluster cluster) {
     int tasks = MACHINES * CloudStandIn.CPUS / CPUS_PER_TASK / JOBS;
-    List<Scene.Job> jobs = new ArrayList<>();
+    List<SimulatedCluster.Job> jobs = new ArrayList<>();
     for (int i = 1; i <= JOBS; i++) {
       jobs.add(
-          scene.submit(
+          cluster.submit(
               "job-" + i,
               job -> {
                 job.tasks = tasks;
--- a/src/test/java/org/fieldtrestle/rehearsal/CloudStandIn.java
+++ b/src/test/java/org/fieldtrestle/rehearsal/CloudStandIn.java
@@ -16,8 +16,8 @@
   private record Old(long at, JsonNode list) {}
 
   static final int CPUS = 16;
-  private final World world;
-  private final Scene scene;
+  private final SimulatedTime time;
+  private final SimulatedCluster cluster;
   final TreeMap<String, WorkerStandIn> machines = new TreeMap<>();
   private final Map<String, JsonNode> answered = new HashMap<>();
   private final ArrayDeque<Old> lists = new ArrayDeque<>();
@@ -25,9 +25,9 @@
   private int count;
   double neverBoots;
 
-  CloudStandIn(World world, Scene scene, int capacity) {
-    this.world = world;
-    this.scene = scene;
+  CloudStandIn(SimulatedTime time, SimulatedCluster cluster, int capacity) {
+    this.time = time;
+    this.cluster = cluster;
     this.capacity = capacity;
     snapshot();
   }
@@ -47,13 +47,13 @@
           .put("yard", one.zone)
           .put("loaners", one.spot)
           .put("stage", one.failed ? "failed" : one.up ? "running" : "starting")
-          .put("heldS", (world.now() - one.rentedAt) / 1000.0);
+          .put("heldS", (time.now() - one.rentedAt) / 1000.0);
     }
-    lists.add(new Old(world.now(), list));
-    while (lists.size() > 1 && lists.peekFirst().at() < world.now() - 6000) {
+    lists.add(new Old(time.now(), list));
+    while (lists.size() > 1 && lists.peekFirst().at() < time.now() - 6000) {
       lists.removeFirst();
     }
-    world.after(500, this::snapshot);
+    time.after(500, this::snapshot);
   }
 
   @Override
@@ -111,17 +111,17 @@
       for (int i = 0; i < want; i++) {
         WorkerStandIn worker =
             new WorkerStandIn(
-                world,
-                scene,
+                time,
+                cluster,
                 String.format("host-%06d", ++count),
-                scene.workerAddress.apply(count),
+                cluster.workerAddress.apply(count),
                 body.path("rig").asText(),
                 body.path("yard").asText(),
                 body.path("loaners").asBoolean());
         machines.put(worker.id, worker);
         names.add(worker.id);
-        if (!world.chance(neverBoots)) {
-          world.after(world.between(500, 15_000), worker::boot);
+        if (!time.chance(neverBoots)) {
+          time.after(time.between(500, 15_000), worker::boot);
         }
       }
       answered.put(hire, node);
--- a/src/test/java/org/fieldtrestle/rehearsal/ConfirmedCancellationTest.java
+++ b/src/test/java/org/fieldtrestle/rehearsal/ConfirmedCancellationTest.java
@@ -47,14 +47,15 @@
   /** After how long the fleet is up and everything runs. */
   private static final long SETTLED_MS = 60_000;
 
-  private static void forEachDeployment(Consumer<Scene> scenario) {
+  private static void forEachDeployment(Consumer<SimulatedCluster> scenario) {
     for (long[] figures : FIGURES) {
       for (long seed = 1; seed <= SEEDS; seed++) {
-        Scene scene =
-            new Scene(new SplittableRandom(seed), MACHINES, figures[0], figures[1], figures[2]);
-        scenario.accept(scene);
+        SimulatedCluster cluster =
+            new SimulatedCluster(
+                new SplittableRandom(seed), MACHINES, figures[0], figures[1], figures[2]);
+        scenario.accept(cluster);
         String where = "seed " + seed + ", lease " + figures[1];
-        assertEquals(List.of(), scene.rules.broken, where);
+        assertEquals(List.of(), cluster.rules.broken, where);
       }
     }
   }
@@ -63,9 +64,9 @@
    * A job whose ranges its own record alone names: they get records of their own in the transaction
    * that cancels it. As its tasks are spread over the zones, none is handed on while it waits.
    */
-  private static Scene.Job runningJob(Scene scene) {
-    Scene.Job job =
-        scene.submit(
+  private static SimulatedCluster.Job runningJob(SimulatedCluster cluster) {
+    SimulatedCluster.Job job =
+        cluster.submit(
             "job-1",
             one -> {
               one.tasks = TASKS;
@@ -73,19 +74,20 @@
               one.runMs = LONG_RUN_MS;
               one.spread = true;
             });
-    run(scene, SETTLED_MS);
-    assertTrue(scene.rules.on(job.id) >= TASKS / 2, "it runs");
-    assertEquals(0, scene.state.rangeRecordsOf(job.id), "its ranges have no records of their own");
+    run(cluster, SETTLED_MS);
+    assertTrue(cluster.rules.on(job.id) >= TASKS / 2, "it runs");
+    assertEquals(
+        0, cluster.state.rangeRecordsOf(job.id), "its ranges have no records of their own");
     return job;
   }
 
-  private static void assertNoneStarted(Scene scene, Scene.Job job) {
-    assertEquals(0, scene.rules.on(job.id));
-    assertEquals(0, scene.rules.orderedAfterCancel, "started after the confirmation");
+  private static void assertNoneStarted(SimulatedCluster cluster, SimulatedCluster.Job job) {
+    assertEquals(0, cluster.rules.on(job.id));
+    assertEquals(0, cluster.rules.orderedAfterCancel, "started after the confirmation");
   }
 
-  private static void run(Scene scene, long ms) {
-    scene.world.runUntil(scene.world.now() + ms);
+  private static void run(SimulatedCluster cluster, long ms) {
+    cluster.time.runUntil(cluster.time.now() + ms);
   }
 
   private static boolean endsAJob(String path, byte[] body) {
@@ -99,10 +101,11 @@
    * @param confirmed run when the answer to the commit comes in
    * @return counts the pages of the state that the controller reads from then on
    */
-  private static AtomicInteger cancelUnwatched(Scene scene, Scene.Job job, Runnable confirmed) {
-    String leader = scene.leaderOf(job);
+  private static AtomicInteger cancelUnwatched(
+      SimulatedCluster cluster, SimulatedCluster.Job job, Runnable confirmed) {
+    String leader = cluster.leaderOf(job);
     AtomicInteger pagesRead = new AtomicInteger();
-    scene.stateAnswerLateMs =
+    cluster.stateAnswerLateMs =
         (controller, path, body) -> {
           if (!controller.equals(leader)) {
             return 0;
@@ -113,84 +116,85 @@
           if (path.startsWith("/kv?")) {
             pagesRead.incrementAndGet();
           }
-          return path.startsWith("/watch") ? Scene.LateAnswers.LOST : 0;
+          return path.startsWith("/watch") ? SimulatedCluster.LateAnswers.LOST : 0;
         };
-    scene.cancelAt(leader, job);
-    run(scene, 200);
-    assertEquals("cancelled", scene.rules.lastOf(job.id), "confirmed by its leader");
+    cluster.cancelAt(leader, job);
+    run(cluster, 200);
+    assertEquals("cancelled", cluster.rules.lastOf(job.id), "confirmed by its leader");
     return pagesRead;
   }
 
-  private static void watchAgain(Scene scene) {
-    scene.stateAnswerLateMs = (controller, path, body) -> 0;
+  private static void watchAgain(SimulatedCluster cluster) {
+    cluster.stateAnswerLateMs = (controller, path, body) -> 0;
   }
 
   @Test
   void afterAnOutageThatBeganBeforeTheNextWatchNothingOfItIsStarted() {
     forEachDeployment(
-        scene -> {
-          Scene.Job job = runningJob(scene);
-          long outageMs = scene.cancelMs + 12_000;
-          scene.trouble(outageMs);
-          cancelUnwatched(scene, job, () -> scene.state.outage(outageMs));
-          watchAgain(scene);
-          run(scene, outageMs + 30_000);
-          assertNoneStarted(scene, job);
+        cluster -> {
+          SimulatedCluster.Job job = runningJob(cluster);
+          long outageMs = cluster.cancelMs + 12_000;
+          cluster.trouble(outageMs);
+          cancelUnwatched(cluster, job, () -> cluster.state.outage(outageMs));
+          watchAgain(cluster);
+          run(cluster, outageMs + 30_000);
+          assertNoneStarted(cluster, job);
         });
   }
 
   @Test
   void afterReadingTheStateFromTheStartNothingOfItIsStarted() {
     forEachDeployment(
-        scene -> {
-          Scene.Job job = runningJob(scene);
-          String leader = scene.leaderOf(job);
-          long cutMs = scene.cancelMs + 12_000;
-          scene.trouble(cutMs);
+        cluster -> {
+          SimulatedCluster.Job job = runningJob(cluster);
+          String leader = cluster.leaderOf(job);
+          long cutMs = cluster.cancelMs + 12_000;
+          cluster.trouble(cutMs);
           AtomicInteger pagesRead =
-              cancelUnwatched(scene, job, () -> scene.lose(leader, cutMs, "state"));
-          run(scene, cutMs);
+              cancelUnwatched(cluster, job, () -> cluster.lose(leader, cutMs, "state"));
+          run(cluster, cutMs);
           for (int i = 0; i < 1000 && pagesRead.get() == 0; i++) {
-            run(scene, 10);
+            run(cluster, 10);
           }
           assertTrue(pagesRead.get() > 0, "the state is read from the start");
-          watchAgain(scene);
-          run(scene, 60_000);
-          assertNoneStarted(scene, job);
+          watchAgain(cluster);
+          run(cluster, 60_000);
+          assertNoneStarted(cluster, job);
         });
   }
 
   @Test
   void afterARestartOfTheControllerThatConfirmedItNothingOfItIsStarted() {
     forEachDeployment(
-        scene -> {
-          Scene.Job job = runningJob(scene);
-          String leader = scene.leaderOf(job);
-          scene.trouble(scene.cancelMs);
+        cluster -> {
+          SimulatedCluster.Job job = runningJob(cluster);
+          String leader = cluster.leaderOf(job);
+          cluster.trouble(cluster.cancelMs);
           // Just after the user has the answer.
-          cancelUnwatched(scene, job, () -> scene.world.after(20, () -> scene.kill(leader, 300)));
-          watchAgain(scene);
-          run(scene, scene.cancelMs + 30_000);
-          assertNoneStarted(scene, job);
+          cancelUnwatched(
+              cluster, job, () -> cluster.time.after(20, () -> cluster.kill(leader, 300)));
+          watchAgain(cluster);
+          run(cluster, cluster.cancelMs + 30_000);
+          assertNoneStarted(cluster, job);
         });
   }
 
   @Test
   void whileTheNextWatchIsLateItsTasksAreStoppedAndNotStartedElsewhere() {
     forEachDeployment(
-        scene -> {
-          Scene.Job job = runningJob(scene);
+        cluster -> {
+          SimulatedCluster.Job job = runningJob(cluster);
           WorkerStandIn first =
-              scene.cloud.machines.values().stream()
+              cluster.cloud.machines.values().stream()
                   .filter(machine -> machine.holds(job.id + "/0"))
                   .findFirst()
                   .orElseThrow();
-          cancelUnwatched(scene, job, () -> scene.cloud.remove(first.id));
-          run(scene, scene.reportMs * 2);
-          assertEquals(0, scene.rules.on(job.id), "stopped with the next command");
-          watchAgain(scene);
-          run(scene, 30_000);
-          assertNoneStarted(scene, job);
+          cancelUnwatched(cluster, job, () -> cluster.cloud.remove(first.id));
+          run(cluster, cluster.reportMs * 2);
+          assertEquals(0, cluster.rules.on(job.id), "stopped with the next command");
+          watchAgain(cluster);
+          run(cluster, 30_000);
+          assertNoneStarted(cluster, job);
         });
   }
 
@@ -201,31 +205,31 @@
   @Test
   void anAcceptanceThatIsAnsweredAfterTheCancellationWasFollowedStartsNothing() {
     forEachDeployment(
-        scene -> {
-          runningJob(scene);
-          scene.stateAnswerLateMs =
+        cluster -> {
+          runningJob(cluster);
+          cluster.stateAnswerLateMs =
               (controller, path, body) ->
                   controller.equals("trestle-0") && new String(body).contains("ft/live/job/job-2")
                       ? ANSWER_LATE_MS
                       : 0;
-          Scene.Job job =
-              scene.define(
+          SimulatedCluster.Job job =
+              cluster.define(
                   "job-2",
                   one -> {
                     one.tasks = MACHINES;
                     one.runMs = LONG_RUN_MS;
                   });
           List<Integer> answers = new ArrayList<>();
-          scene.submitAt("trestle-0", job, answer -> answers.add(answer.status()));
-          run(scene, ANSWER_LATE_MS / 4);
-          scene.cancelAt("trestle-1", job);
-          run(scene, ANSWER_LATE_MS / 4);
-          assertEquals("cancelled", scene.rules.lastOf(job.id), "before the late answer");
+          cluster.submitAt("trestle-0", job, answer -> answers.add(answer.status()));
+          run(cluster, ANSWER_LATE_MS / 4);
+          cluster.cancelAt("trestle-1", job);
+          run(cluster, ANSWER_LATE_MS / 4);
+          assertEquals("cancelled", cluster.rules.lastOf(job.id), "before the late answer");
           assertEquals(List.of(), answers, "the submission is not answered yet");
-          int onTheirWay = scene.rules.orderedAfterCancel;
-          run(scene, 30_000);
-          assertEquals(0, scene.rules.on(job.id));
-          assertEquals(onTheirWay, scene.rules.orderedAfterCancel, "no further start is ordered");
+          int onTheirWay = cluster.rules.orderedAfterCancel;
+          run(cluster, 30_000);
+          assertEquals(0, cluster.rules.on(job.id));
+          assertEquals(onTheirWay, cluster.rules.orderedAfterCancel, "no further start is ordered");
           assertEquals(List.of(200), answers, "as known already, not as accepted just now");
         });
   }
--- a/src/test/java/org/fieldtrestle/rehearsal/ControllerStartTest.java
+++ b/src/test/java/org/fieldtrestle/rehearsal/ControllerStartTest.java
@@ -16,33 +16,34 @@
   /** More than clocks drift apart in that time. */
   private static final long DRIFT_MS = 10;
 
-  private static Scene stopped() {
-    Scene scene = new Scene(new SplittableRandom(1), 1, 2500, LEASE_MS, 46_000);
-    scene.world.runUntil(10_000);
-    scene.kill(LABEL, DOWN_FOR_LONG_MS);
-    return scene;
+  private static SimulatedCluster stopped() {
+    SimulatedCluster cluster =
+        new SimulatedCluster(new SplittableRandom(1), 1, 2500, LEASE_MS, 46_000);
+    cluster.time.runUntil(10_000);
+    cluster.kill(LABEL, DOWN_FOR_LONG_MS);
+    return cluster;
   }
 
-  private static boolean listensAfter(Scene scene, long ms) {
-    scene.world.runUntil(scene.world.now() + ms);
-    return scene.net.serves(scene.address(LABEL));
+  private static boolean listensAfter(SimulatedCluster cluster, long ms) {
+    cluster.time.runUntil(cluster.time.now() + ms);
+    return cluster.net.serves(cluster.address(LABEL));
   }
 
   @Test
   void requestsAreRefusedUntilTheControllerActs() {
-    Scene scene = stopped();
-    scene.state.outage(1000);
-    scene.start(LABEL);
-    assertFalse(listensAfter(scene, 999), "nothing can be served without the state service");
-    assertTrue(listensAfter(scene, LISTENS_AT_LAST_MS - 1500), "whoever acts should listen");
+    SimulatedCluster cluster = stopped();
+    cluster.state.outage(1000);
+    cluster.start(LABEL);
+    assertFalse(listensAfter(cluster, 999), "nothing can be served without the state service");
+    assertTrue(listensAfter(cluster, LISTENS_AT_LAST_MS - 1500), "whoever acts should listen");
   }
 
   @Test
   void requestsAreAcceptedWhereActingTakesLong() {
-    Scene scene = stopped();
-    scene.state.outage(10 * LISTENS_AT_LAST_MS);
-    scene.start(LABEL);
-    assertFalse(listensAfter(scene, LISTENS_AT_LAST_MS - DRIFT_MS));
-    assertTrue(listensAfter(scene, 2 * DRIFT_MS));
+    SimulatedCluster cluster = stopped();
+    cluster.state.outage(10 * LISTENS_AT_LAST_MS);
+    cluster.start(LABEL);
+    assertFalse(listensAfter(cluster, LISTENS_AT_LAST_MS - DRIFT_MS));
+    assertTrue(listensAfter(cluster, 2 * DRIFT_MS));
   }
 }
--- a/src/test/java/org/fieldtrestle/rehearsal/Net.java
+++ b/src/test/java/org/fieldtrestle/rehearsal/FaultyNetwork.java
@@ -9,8 +9,8 @@
 import org.fieldtrestle.transport.Http;
 
 /** A network that delays, loses, holds and cuts, as the protocol says of the real one. */
-final class Net {
-  private final World world;
+final class FaultyNetwork {
+  private final SimulatedTime time;
   private final Map<String, Http.Handler> servers = new HashMap<>();
   private final Map<String, String> zones = new HashMap<>();
   private final Map<String, Long> cutUntil = new HashMap<>();
@@ -43,8 +43,8 @@
 
   private long sentAt;
 
-  Net(World world) {
-    this.world = world;
+  FaultyNetwork(SimulatedTime time) {
+    this.time = time;
   }
 
   void serve(String address, String zone, Http.Handler handler) {
@@ -61,23 +61,23 @@
   }
 
   void cut(String zone, String other, long forMs) {
-    cutUntil.put(zone + "|" + other, world.now() + forMs);
-    cutUntil.put(other + "|" + zone, world.now() + forMs);
+    cutUntil.put(zone + "|" + other, time.now() + forMs);
+    cutUntil.put(other + "|" + zone, time.now() + forMs);
   }
 
   /** Requests to an address take this much longer for a while. */
   void slow(String address, long byMs, long forMs) {
     slowBy.put(address, byMs);
-    slowUntil.put(address, world.now() + forMs);
+    slowUntil.put(address, time.now() + forMs);
   }
 
   private long slowness(String address) {
-    return world.now() < slowUntil.getOrDefault(address, 0L) ? slowBy.get(address) : 0;
+    return time.now() < slowUntil.getOrDefault(address, 0L) ? slowBy.get(address) : 0;
   }
 
   private long cutFor(String fromZone, String address) {
     String to = zones.getOrDefault(address, "");
-    return Math.max(0, cutUntil.getOrDefault(fromZone + "|" + to, 0L) - world.now());
+    return Math.max(0, cutUntil.getOrDefault(fromZone + "|" + to, 0L) - time.now());
   }
 
   /** A call whose caller may die meanwhile. */
@@ -98,41 +98,41 @@
             done.accept(outcome);
           }
         };
-    long sent = world.now();
+    long sent = time.now();
     long cut = cutFor(fromZone, address);
     if (cut > 0) {
-      if (world.chance(0.5)) { // on an open connection: held, and delivered once the cut is over
-        world.after(
-            cut + world.between(1, 200), () -> deliver(sent, address, method, path, body, r -> {}));
-        world.after(timeoutMs, alive, () -> once.accept(new Http.Unknown("timeout")));
+      if (time.chance(0.5)) { // on an open connection: held, and delivered once the cut is over
+        time.after(
+            cut + time.between(1, 200), () -> deliver(sent, address, method, path, body, r -> {}));
+        time.after(timeoutMs, alive, () -> once.accept(new Http.Unknown("timeout")));
       } else {
-        world.after(timeoutMs, alive, () -> once.accept(new Http.NotSent("timeout")));
+        time.after(timeoutMs, alive, () -> once.accept(new Http.NotSent("timeout")));
       }
       return;
     }
     if (!servers.containsKey(address)) {
-      world.after(1, alive, () -> once.accept(new Http.NotSent("refused")));
+      time.after(1, alive, () -> once.accept(new Http.NotSent("refused")));
       return;
     }
-    world.after(timeoutMs, alive, () -> once.accept(new Http.Unknown("timeout")));
-    if (path.equals("/hello") && world.chance(copies)) {
+    time.after(timeoutMs, alive, () -> once.accept(new Http.Unknown("timeout")));
+    if (path.equals("/hello") && time.chance(copies)) {
       for (int i = 0; i < copiesEach; i++) {
-        String to = controllers.get((int) world.between(0, controllers.size() - 1));
-        world.after(
-            world.between(1000, 60_000),
+        String to = controllers.get((int) time.between(0, controllers.size() - 1));
+        time.after(
+            time.between(1000, 60_000),
             () -> deliver(sent, to, method, path, body, response -> {}));
       }
     }
-    if (world.chance(late)
-        || lateCommands > 0 && path.equals("/commands") && world.chance(lateCommands)) {
-      world.after(
-          world.between(timeoutMs, timeoutMs * 10),
+    if (time.chance(late)
+        || lateCommands > 0 && path.equals("/commands") && time.chance(lateCommands)) {
+      time.after(
+          time.between(timeoutMs, timeoutMs * 10),
           () -> deliver(sent, address, method, path, body, r -> {}));
       return;
     }
-    boolean answerLost = world.chance(lost);
-    world.after(
-        world.between(1, 6) + slowness(address),
+    boolean answerLost = time.chance(lost);
+    time.after(
+        time.between(1, 6) + slowness(address),
         () ->
             deliver(
                 sent,
@@ -143,10 +143,10 @@
                 response -> {
                   if (response.body().length > largestAnswer) {
                     tooLarge++;
-                    world.after(5, alive, () -> once.accept(new Http.Unknown("closed")));
+                    time.after(5, alive, () -> once.accept(new Http.Unknown("closed")));
                   } else if (!answerLost && cutFor(fromZone, address) == 0) {
-                    world.after(
-                        world.between(1, 6),
+                    time.after(
+                        time.between(1, 6),
                         alive,
                         () -> once.accept(new Http.Answer(response.status(), response.body())));
                   }
@@ -161,7 +161,7 @@
   /** A request that arrives now, and whose answer is handed over as it is given. */
   void deliver(
       String address, String method, String path, byte[] body, Consumer<Http.Response> reply) {
-    deliver(world.now(), address, method, path, body, reply);
+    deliver(time.now(), address, method, path, body, reply);
   }
 
   private void deliver(
--- a/src/test/java/org/fieldtrestle/rehearsal/Rules.java
+++ b/src/test/java/org/fieldtrestle/rehearsal/InvariantChecker.java
@@ -9,11 +9,11 @@
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
-/** Judges a history by the rules of the protocol. */
-final class Rules {
-  private static final Logger LOG = LoggerFactory.getLogger(Rules.class);
-  private final World world;
-  private final Scene scene;
+/** Checks a history for the rules of the protocol, as users and workers see it. */
+final class InvariantChecker {
+  private static final Logger LOG = LoggerFactory.getLogger(InvariantChecker.class);
+  private final SimulatedTime time;
+  private final SimulatedCluster cluster;
   final List<String> broken = new ArrayList<>();
 
   /** The machines that each task is on, by job; without those that are nowhere. */
@@ -48,19 +48,19 @@
   int starts;
   int done;
 
-  Rules(World world, Scene scene) {
-    this.world = world;
-    this.scene = scene;
+  InvariantChecker(SimulatedTime time, SimulatedCluster cluster) {
+    this.time = time;
+    this.cluster = cluster;
   }
 
   /** Into the log, between what the controllers write there. */
   private void trace(String what) {
-    LOG.debug("{} ms: {}", world.now(), what);
+    LOG.debug("{} ms: {}", time.now(), what);
   }
 
   private void breaks(String rule, String what) {
     trace("BROKEN " + rule + " " + what);
-    broken.add(rule + " at " + world.now() + " ms: " + what);
+    broken.add(rule + " at " + time.now() + " ms: " + what);
   }
 
   static String jobOf(String task) {
@@ -76,8 +76,8 @@
   }
 
   /** How long ago a job was submitted, troubles aside. */
-  private long calmSinceSubmission(Scene.Job job) {
-    return world.now() - job.submittedAt - (troubledMs - job.troubledBeforeMs);
+  private long calmSinceSubmission(SimulatedCluster.Job job) {
+    return time.now() - job.submittedAt - (troubledMs - job.troubledBeforeMs);
   }
 
   long troubledMs() {
@@ -92,11 +92,11 @@
   void started(String task, WorkerStandIn machine) {
     starts++;
     begun.add(jobOf(task));
-    begunAfter.putIfAbsent(jobOf(task), calmSinceSubmission(scene.jobs.get(jobOf(task))));
-    movedAt.put(jobOf(task), world.now());
+    begunAfter.putIfAbsent(jobOf(task), calmSinceSubmission(cluster.jobs.get(jobOf(task))));
+    movedAt.put(jobOf(task), time.now());
     startsOn.merge(machine.id, 1, Integer::sum);
     trace(task + " starts on " + machine.id);
-    Scene.Job job = scene.jobs.get(jobOf(task));
+    SimulatedCluster.Job job = cluster.jobs.get(jobOf(task));
     Map<String, Set<String>> ofJob = on.computeIfAbsent(job.id, j -> new HashMap<>());
     Set<String> places = ofJob.computeIfAbsent(task, t -> new HashSet<>());
     if (!places.isEmpty()) {
@@ -113,9 +113,9 @@
     Map<String, Integer> zones = new HashMap<>();
     ofJob
         .values()
-        .forEach(at -> at.forEach(place -> zones.merge(scene.zoneOf(place), 1, Integer::sum)));
+        .forEach(at -> at.forEach(place -> zones.merge(cluster.zoneOf(place), 1, Integer::sum)));
     double used = used(job.team);
-    if (used > scene.limit(job.team) + 1e-6) {
+    if (used > cluster.limit(job.team) + 1e-6) {
       breaks("quota", job.team + " uses " + used);
     }
     if (job.oneZone && zones.size() > 1) {
@@ -129,8 +129,8 @@
 
   private void checkCancelled(String task) {
     Long told = toldCancelled.get(jobOf(task));
-    if (told != null && world.now() - told > scene.cancelMs) {
-      breaks("ran_cancelled", task + " " + (world.now() - told) + " ms after");
+    if (told != null && time.now() - told > cluster.cancelMs) {
+      breaks("ran_cancelled", task + " " + (time.now() - told) + " ms after");
     }
   }
 
@@ -146,7 +146,7 @@
     }
     orderedAfterCancel++;
     orderedLatestAfterCancelMs = Math.max(orderedLatestAfterCancelMs, sentAt - told);
-    if (sentAt - told > HEARD_WITHIN_MS && told > scene.calmSince() && scene.net.lost == 0) {
+    if (sentAt - told > HEARD_WITHIN_MS && told > cluster.calmSince() && cluster.net.lost == 0) {
       breaks("started_cancelled", task + " " + (sentAt - told) + " ms after");
     }
   }
@@ -155,10 +155,10 @@
   private static final long HEARD_WITHIN_MS = 1000;
 
   void left(String task, String machine) {
-    movedAt.put(jobOf(task), world.now());
+    movedAt.put(jobOf(task), time.now());
     trace(task + " leaves " + machine);
     checkCancelled(task);
-    Scene.Job job = scene.jobs.get(jobOf(task));
+    SimulatedCluster.Job job = cluster.jobs.get(jobOf(task));
     Map<String, Set<String>> ofJob = on.getOrDefault(job.id, Map.of());
     Set<String> places = ofJob.getOrDefault(task, Set.of());
     if (!places.contains(machine)) {
@@ -176,23 +176,23 @@
 
   /** Looks for tasks of cancelled jobs that never leave. */
   void sweep() {
-    troubledMs += world.now() < scene.calmSince() ? Scene.SWEEP_MS : 0;
+    troubledMs += time.now() < cluster.calmSince() ? SimulatedCluster.SWEEP_MS : 0;
     on.values().forEach(ofJob -> ofJob.keySet().forEach(this::checkCancelled));
     Set<String> held = new HashSet<>();
-    scene.cloud.machines.values().forEach(machine -> machine.addTasksTo(held));
-    long calm = scene.calmSince();
+    cluster.cloud.machines.values().forEach(machine -> machine.addTasksTo(held));
+    long calm = cluster.calmSince();
     for (String id : accepted) {
-      Scene.Job job = scene.jobs.get(id);
+      SimulatedCluster.Job job = cluster.jobs.get(id);
       if (job == null || job.hopeless || !waitsBesideRoom(job, held)) {
         roomSince.remove(id);
         continue;
       }
-      long since = roomSince.computeIfAbsent(id, j -> world.now());
+      long since = roomSince.computeIfAbsent(id, j -> time.now());
       since = Math.max(Math.max(since, calm), movedAt.getOrDefault(id, 0L));
-      if (world.now() - since > WAITS_AT_MOST_MS) {
-        breaks("waits", id + " for " + (world.now() - since) + " ms though there is room");
+      if (time.now() - since > WAITS_AT_MOST_MS) {
+        breaks("waits", id + " for " + (time.now() - since) + " ms though there is room");
         roomSince.remove(id);
-        movedAt.put(id, world.now());
+        movedAt.put(id, time.now());
       }
     }
   }
@@ -200,12 +200,12 @@
   private static final long WAITS_AT_MOST_MS = 90_000;
 
   /** Whether a task of the job is nowhere though a machine that fits has room for it. */
-  private boolean waitsBesideRoom(Scene.Job job, Set<String> held) {
+  private boolean waitsBesideRoom(SimulatedCluster.Job job, Set<String> held) {
     String ended = last.get(job.id);
     if (job.broken
         || "done".equals(ended)
         || "cancelled".equals(ended)
-        || scene.cancelledByUser.contains(job.id)) {
+        || cluster.cancelledByUser.contains(job.id)) {
       return false;
     }
     boolean waits = false;
@@ -214,13 +214,13 @@
     for (int i = 0; i < job.tasks; i++) {
       String task = job.id + "/" + i;
       Set<String> places = ofJob.getOrDefault(task, Set.of());
-      places.forEach(place -> zones.merge(scene.zoneOf(place), 1, Integer::sum));
-      waits |= places.isEmpty() && !scene.results.contains(task) && !held.contains(task);
+      places.forEach(place -> zones.merge(cluster.zoneOf(place), 1, Integer::sum));
+      waits |= places.isEmpty() && !cluster.results.contains(task) && !held.contains(task);
     }
-    if (!waits || used(job.team) + job.cpus > scene.limit(job.team) + 1e-6) {
+    if (!waits || used(job.team) + job.cpus > cluster.limit(job.team) + 1e-6) {
       return false;
     }
-    for (WorkerStandIn machine : scene.cloud.machines.values()) {
+    for (WorkerStandIn machine : cluster.cloud.machines.values()) {
       if (machine.hasRoom(job.cpus)
           && (job.type == null || job.type.equals(machine.type))
           && (job.zone == null || job.zone.equals(machine.zone))
@@ -243,17 +243,17 @@
    * outage alone may take longer than that.
    */
   void dayEnds() {
-    Map<String, List<Scene.Job>> groups = new HashMap<>();
-    List<Scene.Job> all = new ArrayList<>();
-    for (Scene.Job job : scene.jobs.values()) {
-      if (!job.hopeless && !job.broken && !scene.cancelledByUser.contains(job.id)) {
+    Map<String, List<SimulatedCluster.Job>> groups = new HashMap<>();
+    List<SimulatedCluster.Job> all = new ArrayList<>();
+    for (SimulatedCluster.Job job : cluster.jobs.values()) {
+      if (!job.hopeless && !job.broken && !cluster.cancelledByUser.contains(job.id)) {
         all.add(job);
         groups.computeIfAbsent("team " + job.team, t -> new ArrayList<>()).add(job);
         groups.computeIfAbsent("class " + job.jobClass(), c -> new ArrayList<>()).add(job);
       }
     }
     all.sort((a, b) -> Integer.compare(b.tasks, a.tasks));
-    List<Scene.Job> largest = all.subList(0, Math.min(all.size(), all.size() / 10 + 1));
+    List<SimulatedCluster.Job> largest = all.subList(0, Math.min(all.size(), all.size() / 10 + 1));
     groups.put("largest", largest);
     groups.forEach(
         (name, jobs) -> {
@@ -262,7 +262,7 @@
             breaks("unserved", name + ": " + served + " of " + jobs.size());
           }
         });
-    for (Scene.Job job : largest) {
+    for (SimulatedCluster.Job job : largest) {
       long waited = begunAfter.getOrDefault(job.id, calmSinceSubmission(job));
       if (waited > LARGEST_BEGIN_WITHIN_MS) {
         breaks("unserved", job.id + " is of the largest and began after " + waited + " ms");
@@ -274,7 +274,7 @@
 
   void accepted(String job) {
     accepted.add(job);
-    if (scene.jobs.containsKey(job) && scene.jobs.get(job).hopeless) {
+    if (cluster.jobs.containsKey(job) && cluster.jobs.get(job).hopeless) {
       breaks("accepted_hopeless", job);
     }
   }
@@ -308,15 +308,15 @@
     if (status != 200) {
       if (accepted.contains(job)) {
         long since =
-            Math.max(failingSince.computeIfAbsent(job, j -> world.now()), scene.calmSince());
-        if (world.now() - since > 75_000) {
-          breaks("forgotten", job + " cannot be asked about for " + (world.now() - since));
+            Math.max(failingSince.computeIfAbsent(job, j -> time.now()), cluster.calmSince());
+        if (time.now() - since > 75_000) {
+          breaks("forgotten", job + " cannot be asked about for " + (time.now() - since));
         }
       }
       return;
     }
     failingSince.remove(job);
-    if (!scene.jobs.containsKey(job)) {
+    if (!cluster.jobs.containsKey(job)) {
       breaks("invented", job);
       return;
     }
@@ -331,22 +331,22 @@
       breaks("went_back", job + " was " + before + " and is " + stage);
     }
     if (stage.equals("cancelled")) {
-      if (!scene.cancelledByUser.contains(job)) {
+      if (!cluster.cancelledByUser.contains(job)) {
         breaks("went_back", job + " is cancelled, but nobody asked for that");
       }
-      toldCancelled.putIfAbsent(job, world.now());
+      toldCancelled.putIfAbsent(job, time.now());
     }
     if (stage.equals("done") && !"done".equals(before)) {
       done++;
-      for (int i = 0; i < scene.jobs.get(job).tasks; i++) {
-        if (!scene.results.contains(job + "/" + i)) {
+      for (int i = 0; i < cluster.jobs.get(job).tasks; i++) {
+        if (!cluster.results.contains(job + "/" + i)) {
           breaks("not_done", job + "/" + i);
         }
       }
     }
     last.put(job, stage);
     if (stage.equals("done") || stage.equals("cancelled")) {
-      finalAt.putIfAbsent(job, world.now());
+      finalAt.putIfAbsent(job, time.now());
     }
   }
 
--- a/src/test/java/org/fieldtrestle/rehearsal/LoadDriver.java
+++ b/src/test/java/org/fieldtrestle/rehearsal/LoadDriver.java
@@ -57,7 +57,7 @@
   private final Sockets sockets = new Sockets(100_000);
   private final HttpClient users = client();
   private final Map<String, HttpClient> workerClients = new HashMap<>();
-  private final Scene scene;
+  private final SimulatedCluster cluster;
   private final int machines;
   private final List<String> command;
   private final Path directory;
@@ -69,8 +69,8 @@
     this.machines = machines;
     this.command = command;
     this.directory = Files.createTempDirectory("fieldtrestle-load");
-    this.scene =
-        new Scene(
+    this.cluster =
+        new SimulatedCluster(
             new SplittableRandom(1),
             machines,
             Deployment.small(REPORT_MS, LEASE_MS, CANCEL_MS),
@@ -100,15 +100,15 @@
   }
 
   private void serveStandIns() throws InterruptedException {
-    serve(new InetSocketAddress("127.0.0.1", STATE_PORT), scene.state);
-    serve(new InetSocketAddress("127.0.0.1", CLOUD_PORT), scene.cloud);
+    serve(new InetSocketAddress("127.0.0.1", STATE_PORT), cluster.state);
+    serve(new InetSocketAddress("127.0.0.1", CLOUD_PORT), cluster.cloud);
     for (int number = 1; number <= 2 * machines; number++) {
       String address = workerAddress(number);
       String id = String.format("host-%06d", number);
       serve(
           HttpClient.socket(address),
           (request, reply) -> {
-            WorkerStandIn worker = scene.cloud.machines.get(id);
+            WorkerStandIn worker = cluster.cloud.machines.get(id);
             if (worker != null && worker.up) {
               worker.handle(request, reply);
             }
@@ -117,8 +117,8 @@
   }
 
   private void serveController(String label) {
-    scene.net.serve(
-        scene.address(label),
+    cluster.net.serve(
+        cluster.address(label),
         "a",
         (request, reply) ->
             clientOf(request)
@@ -166,7 +166,7 @@
     text.append("label = \"").append(label).append("\"\nsite = \"a\"\n");
     text.append("front = \"").append(front(label)).append("\"\n");
     text.append("internal_addr = \"127.0.0.1:" + (PEER_PORT + index(label)) + "\"\n");
-    for (String other : scene.labels()) {
+    for (String other : cluster.labels()) {
       if (!other.equals(label)) {
         text.append("[[others]]\nlabel = \"" + other + "\"\nsite = \"a\"\n");
         text.append("peer_addr = \"127.0.0.1:" + (PEER_PORT + index(other)) + "\"\n");
@@ -192,7 +192,7 @@
   private void offerJobs() {
     int number = ++jobs;
     boolean rush = number % 3 != 0;
-    scene.submit(
+    cluster.submit(
         "job-" + number,
         job -> {
           job.tasks = rush ? machines / 8 + 1 : machines / 2 + 1;
@@ -200,11 +200,11 @@
           job.runMs = rush ? 2900 : 30_000;
           job.image = "img-" + number % 12;
         });
-    scene.world.after(2000, this::offerJobs);
+    cluster.time.after(2000, this::offerJobs);
   }
 
   private void pump() {
-    scene.world.runUntil((System.nanoTime() - startedAt) / 1_000_000);
+    cluster.time.runUntil((System.nanoTime() - startedAt) / 1_000_000);
   }
 
   private void onLoop(Runnable work) throws Exception {
@@ -254,11 +254,11 @@
     for (Map.Entry<String, Process> one : controllers.entrySet()) {
       before.put(one.getKey(), threadTimes(one.getValue()));
     }
-    int starts = scene.rules.starts;
+    int starts = cluster.rules.starts;
     TimeUnit.SECONDS.sleep(seconds);
     System.out.printf(
         "== %s, %d s: %d machines, %d tasks started%n",
-        phase, seconds, scene.cloud.machines.size(), scene.rules.starts - starts);
+        phase, seconds, cluster.cloud.machines.size(), cluster.rules.starts - starts);
     for (Map.Entry<String, Process> one : controllers.entrySet()) {
       Map<String, Long> spent = threadTimes(one.getValue());
       before.get(one.getKey()).forEach((name, ms) -> spent.merge(name, -ms, Long::sum));
@@ -271,7 +271,7 @@
   }
 
   private void printStats() throws Exception {
-    for (String label : scene.labels()) {
+    for (String label : cluster.labels()) {
       CompletableFuture<Http.Outcome> answered = new CompletableFuture<>();
       Consumer<Http.Outcome> done = answered::complete;
       onLoop(() -> users.call(front(label), "GET", "/stats", new byte[0], 3000, done));
@@ -284,14 +284,14 @@
   /** Processor time that a controller takes until it acts again, all machines reporting. */
   private void restart(String label) throws Exception {
     controllers.get(label).destroyForcibly().waitFor();
-    onLoop(() -> scene.net.stop(scene.address(label)));
+    onLoop(() -> cluster.net.stop(cluster.address(label)));
     startController(label);
     onLoop(() -> serveController(label));
   }
 
   private void run(long seconds) throws Exception {
     serveStandIns();
-    for (String label : scene.labels()) {
+    for (String label : cluster.labels()) {
       startController(label);
       onLoop(() -> serveController(label));
     }
@@ -304,7 +304,7 @@
     restart("trestle-0");
     measure("trestle-0 restarted", 5);
     measure("after the restart", 10);
-    onLoop(() -> scene.state.outage(10_000));
+    onLoop(() -> cluster.state.outage(10_000));
     measure("outage", 10);
     measure("after the outage", 5);
     onLoop(
--- a/src/test/java/org/fieldtrestle/rehearsal/ProductionSizeTest.java
+++ b/src/test/java/org/fieldtrestle/rehearsal/ProductionSizeTest.java
@@ -55,20 +55,22 @@
   }
 
   private static void day(Deployment deployment, long seed) {
-    Scene scene = new Scene(new SplittableRandom(seed), MACHINES, deployment);
-    scene.net.largestAnswer = HttpClient.MAX_RESPONSE;
-    AnswerLog answers = new AnswerLog(scene);
-    submitAll(scene, answers);
+    SimulatedCluster cluster =
+        new SimulatedCluster(new SplittableRandom(seed), MACHINES, deployment);
+    cluster.net.largestAnswer = HttpClient.MAX_RESPONSE;
+    AnswerLog answers = new AnswerLog(cluster);
+    submitAll(cluster, answers);
     List<Integer> kinds = new ArrayList<>();
     for (int i = 0; i < TROUBLES; i++) {
       long at = TROUBLES_FROM_MS + i * TROUBLES_EVERY_MS;
       for (int each = 0; each < 2; each++) {
-        int kind = (int) scene.world.between(0, TROUBLE_KINDS - 1);
+        int kind = (int) cluster.time.between(0, TROUBLE_KINDS - 1);
         kinds.add(kind);
-        scene.world.after(at + scene.world.between(0, 10_000), () -> trouble(scene, answers, kind));
+        cluster.time.after(
+            at + cluster.time.between(0, 10_000), () -> trouble(cluster, answers, kind));
       }
     }
-    scene.world.runUntil(ENDS_MS);
+    cluster.time.runUntil(ENDS_MS);
     LOG.warn(
         "seed {} with {} machines, troubles {}: longest spell {}, {} of {} jobs ended, answers {},"
             + " {} refused for limits, {} too large, broken {}",
@@ -79,39 +81,39 @@
         answers.ended(),
         answers.accepted(),
         answers.statuses(),
-        scene.state.refusedForLimits(),
-        scene.net.tooLarge,
-        scene.rules.broken.stream().limit(5).toList());
-    assertEquals(List.of(), scene.rules.broken, "seed " + seed + ", troubles " + kinds);
+        cluster.state.refusedForLimits(),
+        cluster.net.tooLarge,
+        cluster.rules.broken.stream().limit(5).toList());
+    assertEquals(List.of(), cluster.rules.broken, "seed " + seed + ", troubles " + kinds);
     assertTrue(
         answers.longest().ms() < AnswerLog.FORGOTTEN_MS,
         "seed " + seed + ", troubles " + kinds + ": " + answers.longest());
   }
 
   /** Arrays that fill most of the fleet, and single tasks four a second, some called off. */
-  private static void submitAll(Scene scene, AnswerLog answers) {
-    World world = scene.world;
+  private static void submitAll(SimulatedCluster cluster, AnswerLog answers) {
+    SimulatedTime time = cluster.time;
     int number = 0;
     for (long at = 2000; at < 380_000; at += 250) {
       int id = ++number;
-      world.after(
+      time.after(
           at,
           () -> {
-            Scene.Job job = scene.define("job-" + id, one -> one.runMs = 4000);
+            SimulatedCluster.Job job = cluster.define("job-" + id, one -> one.runMs = 4000);
             answers.submit(job);
-            if (world.chance(0.25)) {
-              world.after(world.between(100, 12_000), () -> answers.cancel(job));
+            if (time.chance(0.25)) {
+              time.after(time.between(100, 12_000), () -> answers.cancel(job));
             }
           });
     }
     int slots = MACHINES * CloudStandIn.CPUS / 8;
     for (long at = 2000; at < 360_000; at += 4000) {
       int id = ++number;
-      world.after(
+      time.after(
           at,
           () ->
               answers.submit(
-                  scene.define(
+                  cluster.define(
                       "job-" + id,
                       one -> {
                         one.tasks = Math.max(1, slots / 12);
@@ -122,50 +124,52 @@
     }
   }
 
-  private static void trouble(Scene scene, AnswerLog answers, int kind) {
-    World world = scene.world;
-    String label = scene.labels().get((int) world.between(0, 2));
+  private static void trouble(SimulatedCluster cluster, AnswerLog answers, int kind) {
+    SimulatedTime time = cluster.time;
+    String label = cluster.labels().get((int) time.between(0, 2));
     switch (kind) {
       case 0 -> {
-        scene.trouble(20_000);
-        scene.labels().forEach(one -> scene.kill(one, world.between(3000, 8000)));
+        cluster.trouble(20_000);
+        cluster.labels().forEach(one -> cluster.kill(one, time.between(3000, 8000)));
       }
       case 1 -> {
-        scene.trouble(60_000);
-        scene.labels().stream().filter(l -> !l.equals(label)).forEach(l -> scene.kill(l, 50_000));
+        cluster.trouble(60_000);
+        cluster.labels().stream()
+            .filter(l -> !l.equals(label))
+            .forEach(l -> cluster.kill(l, 50_000));
       }
       case 2 -> {
-        scene.trouble(60_000);
-        scene.state.outage(60_000);
+        cluster.trouble(60_000);
+        cluster.state.outage(60_000);
       }
       case 3 -> {
-        scene.trouble(70_000);
-        scene.isolate(label, 70_000);
+        cluster.trouble(70_000);
+        cluster.isolate(label, 70_000);
       }
       case 4 -> {
-        scene.trouble(70_000);
-        scene.lose(label, 70_000, "state", "peers");
+        cluster.trouble(70_000);
+        cluster.lose(label, 70_000, "state", "peers");
       }
       case 5 -> {
-        scene.trouble(30_000);
-        scene.net.slow(Scene.STATE, 400, 30_000);
+        cluster.trouble(30_000);
+        cluster.net.slow(SimulatedCluster.STATE, 400, 30_000);
       }
       case 6 -> {
-        scene.trouble(5000);
-        for (WorkerStandIn machine : List.copyOf(scene.cloud.machines.values())) {
-          if (world.chance(0.5)) {
-            scene.cloud.remove(machine.id);
+        cluster.trouble(5000);
+        for (WorkerStandIn machine : List.copyOf(cluster.cloud.machines.values())) {
+          if (time.chance(0.5)) {
+            cluster.cloud.remove(machine.id);
           }
         }
       }
       case 7 -> {
-        scene.trouble(70_000);
-        scene.freeze(label, 70_000);
+        cluster.trouble(70_000);
+        cluster.freeze(label, 70_000);
       }
       default -> {
-        scene.trouble(45_000);
-        scene.state.lateWrites = 0.3;
-        world.after(30_000, () -> scene.state.lateWrites = 0);
+        cluster.trouble(45_000);
+        cluster.state.lateWrites = 0.3;
+        time.after(30_000, () -> cluster.state.lateWrites = 0);
       }
     }
   }
--- a/src/test/java/org/fieldtrestle/rehearsal/Scene.java
+++ b/src/test/java/org/fieldtrestle/rehearsal/SimulatedCluster.java
@@ -20,11 +20,11 @@
 import org.fieldtrestle.transport.WorkMeter;
 
 /** Three controllers of the real code amid stand-ins for all else, with users and troubles. */
-final class Scene {
+final class SimulatedCluster {
   static final String STATE = "10.2.0.1:2379";
   static final String CLOUD = "10.2.0.2:8443";
 
-  /** How often the judge looks around. */
+  /** How often the invariants are checked for what lasts. */
   static final long SWEEP_MS = 500;
 
   /** What the workers and the rules know of a job. */
@@ -83,11 +83,11 @@
   /** The address of the worker of the machine that was rented as the n-th. */
   final IntFunction<String> workerAddress;
 
-  final World world;
-  final Net net;
+  final SimulatedTime time;
+  final FaultyNetwork net;
   final StateStandIn state;
   final CloudStandIn cloud;
-  final Rules rules;
+  final InvariantChecker rules;
   final Map<String, Job> jobs = new HashMap<>();
   final Set<String> cancelledByUser = new HashSet<>();
   final Set<String> results = new HashSet<>();
@@ -124,15 +124,16 @@
 
   private final Map<String, Long> answeredWorkerAt = new HashMap<>();
 
-  Scene(RandomGenerator random, int capacity) {
+  SimulatedCluster(RandomGenerator random, int capacity) {
     this(random, capacity, 2500, 16_000, 46_000);
   }
 
-  Scene(RandomGenerator random, int capacity, long reportMs, long leaseMs, long cancelMs) {
+  SimulatedCluster(
+      RandomGenerator random, int capacity, long reportMs, long leaseMs, long cancelMs) {
     this(random, capacity, Deployment.small(reportMs, leaseMs, cancelMs));
   }
 
-  Scene(RandomGenerator random, int capacity, Deployment deployment) {
+  SimulatedCluster(RandomGenerator random, int capacity, Deployment deployment) {
     this(random, capacity, deployment, SIMULATED_WORKER_ADDRESS);
     labels().forEach(this::start);
     sweep();
@@ -142,7 +143,7 @@
    * Everything but the controllers and the checks of the rules, for a driver whose controllers are
    * real processes.
    */
-  Scene(
+  SimulatedCluster(
       RandomGenerator random,
       int capacity,
       Deployment deployment,
@@ -152,11 +153,11 @@
     this.reportMs = deployment.reportMs();
     this.leaseMs = deployment.leaseMs();
     this.cancelMs = deployment.cancelMs();
-    world = new World(random);
-    net = new Net(world);
-    state = new StateStandIn(world, deployment);
-    rules = new Rules(world, this);
-    cloud = new CloudStandIn(world, this, capacity);
+    time = new SimulatedTime(random);
+    net = new FaultyNetwork(time);
+    state = new StateStandIn(time, deployment);
+    rules = new InvariantChecker(time, this);
+    cloud = new CloudStandIn(time, this, capacity);
     net.controllers = labels().stream().map(this::address).toList();
     net.serve(STATE, "regional", state);
     net.serve(CLOUD, "regional", cloud);
@@ -165,7 +166,7 @@
   private void sweep() {
     rules.sweep();
     cloud.machines.values().forEach(m -> zoneOf.put(m.id, m.zone));
-    world.after(SWEEP_MS, this::sweep);
+    time.after(SWEEP_MS, this::sweep);
   }
 
   List<String> labels() {
@@ -222,24 +223,24 @@
     Process process = new Process();
     processes.put(label, process);
     Reactor reactor =
-        world.process(
+        time.process(
             () -> process.alive,
             work -> turn(process, work),
-            world.random.nextDouble() * 0.0005,
-            world.between(-100, 100));
+            time.random.nextDouble() * 0.0005,
+            time.between(-100, 100));
     Http.Caller caller =
         (address, method, path, body, timeoutMs, done) -> {
           if (address.equals(STATE) && isolated(label) > 0) {
-            world.after(
+            time.after(
                 2, () -> process.alive, () -> done.accept(new Http.Answer(503, new byte[0])));
             return;
           }
-          long sentAt = world.now();
+          long sentAt = time.now();
           String to = address.equals(STATE) ? "state" : address.equals(CLOUD) ? "cloud" : "workers";
           if (lost(label, to)) {
             Http.Outcome none =
-                world.chance(0.5) ? new Http.NotSent("timeout") : new Http.Unknown("timeout");
-            world.after(timeoutMs, () -> process.alive, () -> done.accept(none));
+                time.chance(0.5) ? new Http.NotSent("timeout") : new Http.Unknown("timeout");
+            time.after(timeoutMs, () -> process.alive, () -> done.accept(none));
             return;
           }
           send(
@@ -261,10 +262,10 @@
                           long late = stateAnswerLateMs.late(label, path, body);
                           boolean lost = late == LateAnswers.LOST;
                           received = lost ? new Http.Unknown("timeout") : outcome;
-                          wait += lost ? sentAt + timeoutMs - world.now() : late;
+                          wait += lost ? sentAt + timeoutMs - time.now() : late;
                         }
                         Http.Outcome seen = received;
-                        world.after(
+                        time.after(
                             wait,
                             () -> process.alive,
                             () -> turn(process, () -> done.accept(seen)));
@@ -275,7 +276,7 @@
             settings(label),
             Tuning.DEFAULT,
             reactor,
-            world.random,
+            time.random,
             caller,
             (address, frame) -> {
               if (!lost(label, "peers")) {
@@ -300,7 +301,7 @@
                         request,
                         answer -> {
                           if (report && answer.status() == 200) {
-                            answeredWorkerAt.put(label, world.now());
+                            answeredWorkerAt.put(label, time.now());
                           }
                           send(process, () -> reply.accept(answer));
                         }));
@@ -310,9 +311,9 @@
   }
 
   private void send(Process process, Runnable message) {
-    long wait = process.unsentUntil - world.now();
+    long wait = process.unsentUntil - time.now();
     if (wait > 0) {
-      world.after(wait, () -> process.alive, message);
+      time.after(wait, () -> process.alive, message);
     } else {
       message.run();
     }
@@ -323,8 +324,8 @@
    * tenth of a second leaves only once it goes on.
    */
   void freezeBeforeSending(String label, long ms) {
-    processes.get(label).unsentUntil = world.now() + ms;
-    world.after(100, () -> freeze(label, ms - 100));
+    processes.get(label).unsentUntil = time.now() + ms;
+    time.after(100, () -> freeze(label, ms - 100));
   }
 
   /** A copy of a report arrives at a controller. */
@@ -362,10 +363,10 @@
       }
     }
     if (cancelAtEnd > 0) {
-      world.after(world.between(0, 300), () -> ask(job.id));
-      world.after(world.between(0, 300), () -> again(job));
-      if (world.chance(cancelAtEnd)) {
-        world.after(world.between(0, 300), () -> cancel(job));
+      time.after(time.between(0, 300), () -> ask(job.id));
+      time.after(time.between(0, 300), () -> again(job));
+      if (time.chance(cancelAtEnd)) {
+        time.after(time.between(0, 300), () -> cancel(job));
       }
     }
   }
@@ -394,9 +395,9 @@
             work.run();
             return;
           }
-          process.busyUntil = Math.max(process.busyUntil, world.now()) + process.turnMs;
-          world.after(
-              process.busyUntil - world.now(),
+          process.busyUntil = Math.max(process.busyUntil, time.now()) + process.turnMs;
+          time.after(
+              process.busyUntil - time.now(),
               () -> process.alive,
               () -> whenNotFrozen(process, work));
         });
@@ -404,9 +405,9 @@
 
   /** Does something now, or once a controller that stands still goes on. */
   private void whenNotFrozen(Process process, Runnable work) {
-    long wait = process.frozenUntil - world.now();
+    long wait = process.frozenUntil - time.now();
     if (wait > 0) {
-      world.after(wait, () -> process.alive, () -> whenNotFrozen(process, work));
+      time.after(wait, () -> process.alive, () -> whenNotFrozen(process, work));
     } else {
       work.run();
     }
@@ -419,27 +420,27 @@
 
   /** For how long what comes for a controller now has to wait until it is its turn. */
   long lagMs(String label) {
-    return Math.max(0, processes.get(label).busyUntil - world.now());
+    return Math.max(0, processes.get(label).busyUntil - time.now());
   }
 
   /** A controller does nothing for a while; then it has everything at once. */
   void freeze(String label, long ms) {
-    processes.get(label).frozenUntil = world.now() + ms;
+    processes.get(label).frozenUntil = time.now() + ms;
   }
 
   private boolean frozen(String label) {
-    return world.now() < processes.get(label).frozenUntil;
+    return time.now() < processes.get(label).frozenUntil;
   }
 
   /** For a while a controller and these others do not reach each other. */
   void lose(String label, long ms, String... others) {
     for (String other : others) {
-      lostUntil.put(label + " " + other, world.now() + ms);
+      lostUntil.put(label + " " + other, time.now() + ms);
     }
   }
 
   private boolean lost(String label, String other) {
-    return world.now() < lostUntil.getOrDefault(label + " " + other, 0L);
+    return time.now() < lostUntil.getOrDefault(label + " " + other, 0L);
   }
 
   private void peerFrame(String address, ByteBuffer frame) {
@@ -452,10 +453,10 @@
     if (lost(label, "peers")) {
       return;
     }
-    int copies = world.chance(0.05) ? 2 : 1; // repeated and late frames happen
+    int copies = time.chance(0.05) ? 2 : 1; // repeated and late frames happen
     for (int i = 0; i < copies; i++) {
-      world.after(
-          world.chance(0.05) ? world.between(500, 60_000) : world.between(1, 5),
+      time.after(
+          time.chance(0.05) ? time.between(500, 60_000) : time.between(1, 5),
           () -> to.alive,
           () -> turn(to, () -> to.controller.frame(ByteBuffer.wrap(bytes))));
     }
@@ -468,16 +469,16 @@
     }
     process.alive = false;
     net.stop(address(label));
-    world.after(backAfterMs, () -> start(label));
+    time.after(backAfterMs, () -> start(label));
   }
 
   /** The state service alone refuses everything that this controller asks. */
   void isolate(String label, long ms) {
-    isolatedUntil.put(label, world.now() + ms);
+    isolatedUntil.put(label, time.now() + ms);
   }
 
   private long isolated(String label) {
-    return Math.max(0, isolatedUntil.getOrDefault(label, 0L) - world.now());
+    return Math.max(0, isolatedUntil.getOrDefault(label, 0L) - time.now());
   }
 
   /** What one controller says of a job within two seconds; 0 where that is nothing. */
@@ -489,7 +490,7 @@
         .handle(
             new Http.Request("GET", "/v2/runs/" + id, Map.of(), new byte[0]),
             response -> status[0] = response.status());
-    world.runUntil(world.now() + 2000);
+    time.runUntil(time.now() + 2000);
     return status[0];
   }
 
@@ -513,7 +514,7 @@
 
   /** Notes that something is being done to the service. */
   void trouble(long forMs) {
-    calmSince = Math.max(calmSince, world.now() + forMs);
+    calmSince = Math.max(calmSince, time.now() + forMs);
   }
 
   long calmSince() {
@@ -564,7 +565,7 @@
       body.putArray("rigs").add(job.type);
     }
     job.body = Json.bytes(body);
-    job.submittedAt = world.now();
+    job.submittedAt = time.now();
     job.troubledBeforeMs = rules.troubledMs();
     jobs.put(id, job);
     return job;
@@ -605,7 +606,7 @@
       java.util.function.Consumer<Http.Answer> done) {
     List<String> ready = labels().stream().filter(this::ready).toList();
     List<String> from = ready.isEmpty() ? labels() : ready;
-    callAt(from.get((int) world.between(0, from.size() - 1)), method, path, body, timeoutMs, done);
+    callAt(from.get((int) time.between(0, from.size() - 1)), method, path, body, timeoutMs, done);
   }
 
   private void callAt(
@@ -656,20 +657,20 @@
           if (answer.status() == 200 || answer.status() == 201) {
             rules.accepted(job.id);
             poll(job);
-            if (tries > 0 || world.chance(0.2)) {
-              world.after(world.between(1000, 60_000), () -> again(job));
+            if (tries > 0 || time.chance(0.2)) {
+              time.after(time.between(1000, 60_000), () -> again(job));
             }
           } else if (answer.status() == 400 || answer.status() == 422) {
             rules.broken.add("refused " + job.id + " with " + answer.status());
           } else if (tries < 600) {
-            world.after(1000, () -> post(job, tries + 1));
+            time.after(1000, () -> post(job, tries + 1));
           }
         });
   }
 
   /** A retry that arrives at any later time. */
   private void again(Job job) {
-    long asked = world.now();
+    long asked = time.now();
     hand(
         job,
         answer -> {
@@ -683,11 +684,11 @@
 
   private void poll(Job job) {
     ask(job.id);
-    world.after(world.between(3000, 6000), () -> poll(job));
+    time.after(time.between(3000, 6000), () -> poll(job));
   }
 
   void ask(String id) {
-    long asked = world.now();
+    long asked = time.now();
     call(
         "GET",
         "/v2/runs/" + id,
@@ -716,13 +717,13 @@
   }
 
   private java.util.function.Consumer<Http.Answer> cancelled(Job job, Runnable again) {
-    long asked = world.now();
+    long asked = time.now();
     cancelledByUser.add(job.id);
     return answer -> {
       if (answer.status() == 200) {
         rules.told(job.id, 200, Json.parseOrEmpty(answer.body()).path("stage").asText(), asked);
       } else {
-        world.after(1000, again);
+        time.after(1000, again);
       }
     };
   }
--- a/src/test/java/org/fieldtrestle/rehearsal/SimulatedNetwork.java
+++ b/src/test/java/org/fieldtrestle/rehearsal/SimulatedNetwork.java
@@ -15,13 +15,13 @@
   private static final String ZONE = "a";
   private static final int OTHER_CONTROLLERS = 2;
 
-  private final World world = new World(new SplittableRandom(1));
-  private final Net net = new Net(world);
+  private final SimulatedTime time = new SimulatedTime(new SplittableRandom(1));
+  private final FaultyNetwork net = new FaultyNetwork(time);
   private StateStandIn state;
 
   /** The reactor of a process whose clocks are exact. */
   public Reactor reactor() {
-    return world.process(() -> true, Runnable::run, 0, 0);
+    return time.process(() -> true, Runnable::run, 0, 0);
   }
 
   /** Makes calls to whoever is served here. */
@@ -37,7 +37,7 @@
 
   /** Starts a state service, with nothing in it. */
   public void serveState() {
-    state = new StateStandIn(world, Deployment.timberFleet());
+    state = new StateStandIn(time, Deployment.timberFleet());
     serve(STATE_ADDRESS, state);
   }
 
@@ -73,6 +73,6 @@
 
   /** Lets simulated time pass. */
   public void runFor(long ms) {
-    world.runUntil(world.now() + ms);
+    time.runUntil(time.now() + ms);
   }
 }
--- a/src/test/java/org/fieldtrestle/rehearsal/World.java
+++ b/src/test/java/org/fieldtrestle/rehearsal/SimulatedTime.java
@@ -7,7 +7,7 @@
 import org.fieldtrestle.transport.Reactor;
 
 /** Simulated time: everything happens in one order that the seed decides. */
-final class World {
+final class SimulatedTime {
   private record Event(long at, long order, BooleanSupplier alive, Runnable work) {}
 
   final RandomGenerator random;
@@ -17,7 +17,7 @@
   private long now;
   private long order;
 
-  World(RandomGenerator random) {
+  SimulatedTime(RandomGenerator random) {
     this.random = random;
   }
 
--- a/src/test/java/org/fieldtrestle/rehearsal/SlowControllerTest.java
+++ b/src/test/java/org/fieldtrestle/rehearsal/SlowControllerTest.java
@@ -19,63 +19,63 @@
   private static final long SLOW_TURN_MS = 8;
 
   /** Some jobs run, and every turn of a controller begins to take long. */
-  private static Scene busyScene(long seed, int tasks, long runMs) {
-    Scene scene = new Scene(new SplittableRandom(seed), 12);
+  private static SimulatedCluster busyScene(long seed, int tasks, long runMs) {
+    SimulatedCluster cluster = new SimulatedCluster(new SplittableRandom(seed), 12);
     for (int i = 0; i < JOBS; i++) {
-      scene.submit(
+      cluster.submit(
           "job-" + i,
           job -> {
             job.tasks = tasks;
             job.runMs = runMs;
           });
     }
-    scene.world.runUntil(STEADY_MS);
-    scene.labels().forEach(label -> scene.slowDown(label, SLOW_TURN_MS));
-    return scene;
+    cluster.time.runUntil(STEADY_MS);
+    cluster.labels().forEach(label -> cluster.slowDown(label, SLOW_TURN_MS));
+    return cluster;
   }
 
-  private static Scene busyScene(long seed) {
+  private static SimulatedCluster busyScene(long seed) {
     return busyScene(seed, 10, 20_000);
   }
 
-  private static void assertAllDone(Scene scene) {
-    assertEquals(List.of(), scene.rules.broken);
-    for (Scene.Job job : scene.jobs.values()) {
-      String expected = scene.cancelledByUser.contains(job.id) ? "cancelled" : "done";
-      assertEquals(expected, scene.rules.lastOf(job.id), job.id);
+  private static void assertAllDone(SimulatedCluster cluster) {
+    assertEquals(List.of(), cluster.rules.broken);
+    for (SimulatedCluster.Job job : cluster.jobs.values()) {
+      String expected = cluster.cancelledByUser.contains(job.id) ? "cancelled" : "done";
+      assertEquals(expected, cluster.rules.lastOf(job.id), job.id);
     }
   }
 
   @Test
   void slowTurnsAloneLoseNoTask() {
-    Scene scene = busyScene(41);
-    int started = scene.rules.starts;
-    scene.world.runUntil(STEADY_MS + 250_000);
-    assertAllDone(scene);
-    assertTrue(started > 0 && scene.rules.starts <= JOBS * 10, "nothing ran again");
+    SimulatedCluster cluster = busyScene(41);
+    int started = cluster.rules.starts;
+    cluster.time.runUntil(STEADY_MS + 250_000);
+    assertAllDone(cluster);
+    assertTrue(started > 0 && cluster.rules.starts <= JOBS * 10, "nothing ran again");
   }
 
   @Test
   void slowTurnsAndAChangeOfLeaderKeepTheRules() {
     for (long seed = 1; seed <= 3; seed++) {
-      Scene scene = busyScene(seed);
-      scene.trouble(60_000);
-      scene.kill("trestle-1", 30_000);
-      scene.world.after(5000, () -> scene.cancel(scene.jobs.get("job-2")));
-      scene.world.runUntil(STEADY_MS + 350_000);
-      assertAllDone(scene);
+      SimulatedCluster cluster = busyScene(seed);
+      cluster.trouble(60_000);
+      cluster.kill("trestle-1", 30_000);
+      cluster.time.after(5000, () -> cluster.cancel(cluster.jobs.get("job-2")));
+      cluster.time.runUntil(STEADY_MS + 350_000);
+      assertAllDone(cluster);
     }
   }
 
   @Test
   void slowTurnsAndAnOutageThatOutlastsLeasesKeepTheRules() {
     for (long seed = 1; seed <= 3; seed++) {
-      Scene scene = busyScene(seed);
-      scene.trouble(80_000);
-      scene.cancel(scene.jobs.get("job-1"));
-      scene.world.after(500, () -> scene.state.outage(50_000));
-      scene.world.runUntil(STEADY_MS + 400_000);
-      assertAllDone(scene);
+      SimulatedCluster cluster = busyScene(seed);
+      cluster.trouble(80_000);
+      cluster.cancel(cluster.jobs.get("job-1"));
+      cluster.time.after(500, () -> cluster.state.outage(50_000));
+      cluster.time.runUntil(STEADY_MS + 400_000);
+      assertAllDone(cluster);
     }
   }
 
@@ -87,32 +87,32 @@
   void aSlowControllerThatStalledAnswersNoReportPastItsLease() {
     for (long seed = 1; seed <= 3; seed++) {
       for (long stallMs : new long[] {4000, 12_000, 32_000}) {
-        Scene scene = busyScene(seed, 8, 250_000);
-        long cutMs = scene.cancelMs * 3;
-        scene.trouble(cutMs);
-        scene.lose("trestle-0", cutMs, "state", "peers");
-        scene.world.after(1000, () -> scene.cancelAt("trestle-1", scene.jobs.get("job-3")));
-        scene.world.after(1500, () -> scene.cancelAt("trestle-2", scene.jobs.get("job-4")));
-        scene.world.after(2000, () -> scene.freeze("trestle-0", stallMs));
-        scene.world.runUntil(STEADY_MS + cutMs + 30_000);
-        assertEquals(List.of(), scene.rules.broken, "seed " + seed + ", stall " + stallMs);
-        assertEquals(0, scene.rules.on("job-3") + scene.rules.on("job-4"));
+        SimulatedCluster cluster = busyScene(seed, 8, 250_000);
+        long cutMs = cluster.cancelMs * 3;
+        cluster.trouble(cutMs);
+        cluster.lose("trestle-0", cutMs, "state", "peers");
+        cluster.time.after(1000, () -> cluster.cancelAt("trestle-1", cluster.jobs.get("job-3")));
+        cluster.time.after(1500, () -> cluster.cancelAt("trestle-2", cluster.jobs.get("job-4")));
+        cluster.time.after(2000, () -> cluster.freeze("trestle-0", stallMs));
+        cluster.time.runUntil(STEADY_MS + cutMs + 30_000);
+        assertEquals(List.of(), cluster.rules.broken, "seed " + seed + ", stall " + stallMs);
+        assertEquals(0, cluster.rules.on("job-3") + cluster.rules.on("job-4"));
       }
     }
   }
 
   @Test
   void aStormOfQuestionsToSlowControllersForgetsNoJob() {
-    Scene scene = busyScene(43);
-    scene.trouble(40_000);
+    SimulatedCluster cluster = busyScene(43);
+    cluster.trouble(40_000);
     for (int i = 0; i < 4000; i++) {
       String id = i % 2 == 0 ? "job-" + i % JOBS : "job-" + (1000 + i);
-      scene.world.after(i * 8L, () -> scene.ask(id));
+      cluster.time.after(i * 8L, () -> cluster.ask(id));
     }
-    scene.world.runUntil(STEADY_MS + 20_000);
+    cluster.time.runUntil(STEADY_MS + 20_000);
     assertTrue(
-        scene.labels().stream().anyMatch(label -> scene.lagMs(label) > 100), "they are behind");
-    scene.world.runUntil(STEADY_MS + 400_000);
-    assertAllDone(scene);
+        cluster.labels().stream().anyMatch(label -> cluster.lagMs(label) > 100), "they are behind");
+    cluster.time.runUntil(STEADY_MS + 400_000);
+    assertAllDone(cluster);
   }
 }
--- a/src/test/java/org/fieldtrestle/rehearsal/StateAccessTest.java
+++ b/src/test/java/org/fieldtrestle/rehearsal/StateAccessTest.java
@@ -25,8 +25,8 @@
 class StateAccessTest {
   private static final int ANSWER_MS = 5;
 
-  private final World world = new World(new SplittableRandom(1));
-  private final Reactor reactor = world.process(() -> true, Runnable::run, 0, 0);
+  private final SimulatedTime time = new SimulatedTime(new SplittableRandom(1));
+  private final Reactor reactor = time.process(() -> true, Runnable::run, 0, 0);
   private final List<String> sent = new ArrayList<>();
   private Function<String, Http.Outcome> service = path -> answer(200, "{\"ledger\":1}");
 
@@ -55,7 +55,7 @@
             sent.add(path);
             Http.Outcome outcome = service.apply(path);
             if (outcome != null) {
-              world.after(ANSWER_MS, () -> done.accept(outcome));
+              time.after(ANSWER_MS, () -> done.accept(outcome));
             }
           },
           settings);
@@ -78,10 +78,10 @@
   @Test
   void aComparisonIsAnsweredWhileWritesWait() {
     fillWithWrites();
-    world.runUntil(1000);
+    time.runUntil(1000);
     List<Store.Result> results = new ArrayList<>();
     store.compare(List.of(new StateWire.Condition("ft/live/barrier", 0)), results::add);
-    world.runUntil(1100);
+    time.runUntil(1100);
     assertEquals(List.of(new Store.Committed(1)), results);
   }
 
@@ -89,39 +89,39 @@
   void aReadIsAnsweredWhileWritesWait() {
     service = path -> answer(200, "{\"items\":[],\"more\":false,\"ledger\":1}");
     fillWithWrites();
-    world.runUntil(1000);
+    time.runUntil(1000);
     assertTrue(store.crowded(), "the queue of writes is full");
     List<StateWire.Listing> pages = new ArrayList<>();
     assertTrue(
         store.whenReadAllowed(() -> store.list(Records.FINAL, "", 1, pages::add)), "not refused");
-    world.runUntil(1500);
+    time.runUntil(1500);
     assertEquals(1, pages.size());
   }
 
   @Test
   void readsThatNeverEndLeaveWritesTheirTurns() {
     for (int i = 0; i < 1000; i++) {
-      world.after(
+      time.after(
           i * 10L, () -> store.whenReadAllowed(() -> store.list(Records.FINAL, "", 1, page -> {})));
     }
     int[] committed = {0};
     for (int i = 0; i < 40; i++) {
       List<StateWire.Change> one = List.of(new StateWire.Delete("ft/live/stray/" + i));
-      world.after(
+      time.after(
           i * 250L, () -> store.commit(new Store.Txn(List.of(), one), result -> committed[0]++));
     }
-    world.runUntil(10_500);
+    time.runUntil(10_500);
     assertEquals(40, committed[0]);
   }
 
   @Test
   void membershipIsWrittenBeforeAllThatWaits() {
     fillWithWrites();
-    world.runUntil(1000);
+    time.runUntil(1000);
     boolean[] done = {false};
     List<StateWire.Change> change = List.of(new StateWire.Delete("ft/live/member/trestle-0"));
     store.commitFirst(new Store.Txn(List.of(), change), result -> done[0] = true);
-    world.runUntil(1000 + 1000 * settings.state().txnOps() / 9);
+    time.runUntil(1000 + 1000 * settings.state().txnOps() / 9);
     assertTrue(done[0], "once the write before it has been paid for");
   }
 
@@ -129,11 +129,11 @@
   void aRefusalForTooManyRequestsIsNoSilence() {
     service = path -> new Http.Unknown("timeout");
     store.compare(List.of(), result -> {});
-    world.runUntil(1000);
+    time.runUntil(1000);
     assertTrue(store.unansweredMs() > 0);
     service = path -> answer(429, "{}");
     store.compare(List.of(), result -> {});
-    world.runUntil(5000);
+    time.runUntil(5000);
     assertEquals(0, store.unansweredMs(), "a 429 comes from a service that is there");
   }
 
@@ -155,7 +155,7 @@
                 ? answer(200, "{\"ledger\":10,\"log\":[]}")
                 : answer(200, page(10, false));
     view.start();
-    world.runUntil(1000);
+    time.runUntil(1000);
     return view;
   }
 
@@ -173,9 +173,9 @@
               ? new Http.Unknown("connection closed")
               : answer(200, "{\"ledger\":5001,\"log\":[]}");
         };
-    world.runUntil(60_000);
+    time.runUntil(60_000);
     assertEquals(5001, view.followed());
-    assertTrue(world.now() - view.freshAt() < 10_000, "and goes on being followed");
+    assertTrue(time.now() - view.freshAt() < 10_000, "and goes on being followed");
   }
 
   @Test
@@ -183,9 +183,9 @@
     View view = followed();
     sent.clear();
     service = path -> sent.size() == 1 ? new Http.Unknown("timeout") : answer(503, "{}");
-    world.runUntil(60_000);
+    time.runUntil(60_000);
     service = path -> answer(200, "{\"ledger\":10,\"log\":[]}");
-    world.runUntil(65_000);
+    time.runUntil(65_000);
     assertTrue(sent.stream().allMatch(path -> path.startsWith(StateWire.WATCH)), sent.toString());
     assertTrue(view.freshAt() > 60_000, "it is followed again");
   }
@@ -207,7 +207,7 @@
               : answer(200, page(12, false, "ft/live/member/b"));
         };
     view.start();
-    world.runUntil(20_000);
+    time.runUntil(20_000);
     assertTrue(view.ready());
     assertEquals(10, view.followed(), "the watch begins where the first page was read");
     long firstPages = sent.stream().filter(path -> !path.contains("from=")).count();
@@ -227,7 +227,7 @@
     long before = view.freshAt();
     String member = "{\"write\":\"ft/live/member/a\",\"v\":{\"f\":1,\"boot\":\"b\"},\"entry\":11}";
     service = path -> path.contains("from=10&") ? answer(200, watched(11, member)) : null;
-    world.runUntil(world.now() + 20_000);
+    time.runUntil(time.now() + 20_000);
     assertEquals(11, view.followed());
     assertTrue(view.freshAt() > before, "it is fresh afterwards");
     assertEquals(1, freshWhenTold.size());
@@ -250,7 +250,7 @@
             + member
             + "\",\"entry\":12}";
     service = path -> path.contains("from=10&") ? answer(200, watched(12, log)) : null;
-    world.runUntil(world.now() + 20_000);
+    time.runUntil(time.now() + 20_000);
     assertEquals(12, view.followed());
     view.committed(
         List.of(new StateWire.Put(member, Records.write(new Records.Member("b")), 0)), 11);
--- a/src/test/java/org/fieldtrestle/rehearsal/StateStandIn.java
+++ b/src/test/java/org/fieldtrestle/rehearsal/StateStandIn.java
@@ -26,7 +26,7 @@
 
   private static final int CONDITIONS_PER_CHANGE = 4;
 
-  private final World world;
+  private final SimulatedTime time;
   private final Deployment deployment;
   private final RateLimit requests;
   private final RateLimit writes;
@@ -47,8 +47,8 @@
   private int lateRefused;
   private int refusedForLimits;
 
-  StateStandIn(World world, Deployment deployment) {
-    this.world = world;
+  StateStandIn(SimulatedTime time, Deployment deployment) {
+    this.time = time;
     this.deployment = deployment;
     this.requests = new RateLimit(deployment.state().rps());
     this.writes = new RateLimit(deployment.state().writeRps());
@@ -56,11 +56,11 @@
   }
 
   void outage(long ms) {
-    outageUntil = world.now() + ms;
-    world.after(
+    outageUntil = time.now() + ms;
+    time.after(
         ms,
         () -> {
-          leases.replaceAll((id, until) -> world.now() + ttls.get(id));
+          leases.replaceAll((id, until) -> time.now() + ttls.get(id));
           wake();
         });
   }
@@ -120,16 +120,16 @@
   }
 
   private boolean down() {
-    return world.now() < outageUntil;
+    return time.now() < outageUntil;
   }
 
   private void sweep() {
-    world.after(
+    time.after(
         100,
         () -> {
           if (!down()) {
             for (Map.Entry<Long, Long> lease : List.copyOf(leases.entrySet())) {
-              if (lease.getValue() < world.now()) {
+              if (lease.getValue() < time.now()) {
                 end(lease.getKey());
               }
             }
@@ -165,7 +165,7 @@
   }
 
   private boolean limited(RateLimit limit, double amount) {
-    boolean refused = deployment.limited() && !limit.allows(world.now(), amount);
+    boolean refused = deployment.limited() && !limit.allows(time.now(), amount);
     refusedForLimits += refused ? 1 : 0;
     return refused;
   }
@@ -194,13 +194,13 @@
     if (path.equals("/commit") && limited(writes, body.path("apply").size())) {
       reply.accept(answer(429, Json.object()));
     } else if (path.equals("/commit")) {
-      if (lateWrites > 0 && !body.path("apply").isEmpty() && world.chance(lateWrites)) {
+      if (lateWrites > 0 && !body.path("apply").isEmpty() && time.chance(lateWrites)) {
         carryOutLate(body);
       } else {
         reply.accept(commit(body));
       }
     } else if (path.equals("/leases")) {
-      leases.put(++lastLease, world.now() + body.path("lifeMs").asLong());
+      leases.put(++lastLease, time.now() + body.path("lifeMs").asLong());
       ttls.put(lastLease, body.path("lifeMs").asLong());
       reply.accept(answer(200, Json.object().put("permit", lastLease)));
     } else if (path.startsWith("/leases/")) {
@@ -209,7 +209,7 @@
         reply.accept(answer(404, Json.object()));
         return;
       }
-      leases.put(id, world.now() + ttls.get(id));
+      leases.put(id, time.now() + ttls.get(id));
       reply.accept(answer(200, Json.object().put("permit", id)));
     } else if (path.equals("/watch")) {
       watch(request.query(), reply);
@@ -231,8 +231,8 @@
   }
 
   private void carryOutLate(JsonNode body) {
-    world.after(
-        world.between(2000, 12_000),
+    time.after(
+        time.between(2000, 12_000),
         () -> {
           if (down()) {
             carryOutLate(body);
@@ -316,7 +316,7 @@
     }
     Watch watch = new Watch(query.get("prefix"), from, reply, new boolean[1]);
     watches.add(watch);
-    world.after(Long.parseLong(query.get("blockMs")), () -> answerWatch(watch, true));
+    time.after(Long.parseLong(query.get("blockMs")), () -> answerWatch(watch, true));
     wake();
   }
 
@@ -332,7 +332,7 @@
     }
     if (down()) {
       if (timeUp) {
-        world.after(outageUntil - world.now() + 1, () -> answerWatch(watch, true));
+        time.after(outageUntil - time.now() + 1, () -> answerWatch(watch, true));
       }
       return;
     }
--- a/src/test/java/org/fieldtrestle/rehearsal/WorkerStandIn.java
+++ b/src/test/java/org/fieldtrestle/rehearsal/WorkerStandIn.java
@@ -33,8 +33,8 @@
   boolean failed;
   boolean failsTasks;
   int slowness = 1;
-  private final World world;
-  private final Scene scene;
+  private final SimulatedTime time;
+  private final SimulatedCluster cluster;
   private final TreeMap<String, Task> tasks = new TreeMap<>();
   private final Set<String> images = new HashSet<>();
   private boolean gone;
@@ -63,15 +63,21 @@
   int directWhileMute;
 
   WorkerStandIn(
-      World world, Scene scene, String id, String address, String type, String zone, boolean spot) {
-    this.world = world;
-    this.scene = scene;
+      SimulatedTime time,
+      SimulatedCluster cluster,
+      String id,
+      String address,
+      String type,
+      String zone,
+      boolean spot) {
+    this.time = time;
+    this.cluster = cluster;
     this.id = id;
     this.address = address;
     this.type = type;
     this.zone = zone;
     this.spot = spot;
-    this.rentedAt = world.now();
+    this.rentedAt = time.now();
   }
 
   private boolean alive() {
@@ -83,9 +89,9 @@
       return;
     }
     up = true;
-    leaseFrom = world.now();
-    node = (int) world.between(0, scene.labels().size() - 1);
-    scene.net.serve(address, zone, this);
+    leaseFrom = time.now();
+    node = (int) time.between(0, cluster.labels().size() - 1);
+    cluster.net.serve(address, zone, this);
     beat();
     watchLease();
   }
@@ -93,47 +99,47 @@
   void vanish() {
     killAll();
     gone = true;
-    scene.net.stop(address);
+    cluster.net.stop(address);
   }
 
   void die() {
     if (alive()) {
       killAll();
       failed = true;
-      scene.net.stop(address);
+      cluster.net.stop(address);
     }
   }
 
   void hang(long ms) {
-    hungUntil = world.now() + ms;
+    hungUntil = time.now() + ms;
   }
 
   /** Its reports still go out, but nothing comes in. */
   void deafen(long ms) {
-    deafUntil = world.now() + ms;
+    deafUntil = time.now() + ms;
   }
 
   private boolean deaf() {
-    return world.now() < deafUntil;
+    return time.now() < deafUntil;
   }
 
   /** It reaches no controller, while direct commands still reach it. */
   void mute(long ms) {
-    muteUntil = world.now() + ms;
+    muteUntil = time.now() + ms;
   }
 
   private boolean muted() {
-    return world.now() < muteUntil;
+    return time.now() < muteUntil;
   }
 
   /** It does not reach one controller, which still reaches it. */
   void lose(String label, long ms) {
     lostLabel = label;
-    lostUntil = world.now() + ms;
+    lostUntil = time.now() + ms;
   }
 
   private boolean reaches(String label) {
-    return !muted() && !(label.equals(lostLabel) && world.now() < lostUntil);
+    return !muted() && !(label.equals(lostLabel) && time.now() < lostUntil);
   }
 
   /** What it reported last, as a copy of it may arrive at any controller at any later time. */
@@ -143,7 +149,7 @@
 
   /** The controller that it reports to. */
   String reportsTo() {
-    return scene.labels().get(node);
+    return cluster.labels().get(node);
   }
 
   boolean holds(String task) {
@@ -169,14 +175,14 @@
     double used = 0;
     for (var one : tasks.entrySet()) {
       if (!one.getValue().state.equals("exited")) {
-        used += scene.jobs.get(Rules.jobOf(one.getKey())).cpus;
+        used += cluster.jobs.get(InvariantChecker.jobOf(one.getKey())).cpus;
       }
     }
     return used;
   }
 
   private boolean hung() {
-    return world.now() < hungUntil;
+    return time.now() < hungUntil;
   }
 
   private void killAll() {
@@ -190,7 +196,7 @@
     Task task = tasks.get(name);
     if (task.running) {
       task.running = false;
-      scene.rules.left(name, id);
+      cluster.rules.left(name, id);
     }
   }
 
@@ -198,9 +204,9 @@
 
   /** Looks at the first step after the lease has run out, if nothing renews it until then. */
   private void watchLease() {
-    long left = leaseFrom + scene.leaseMs + 1 - world.now();
+    long left = leaseFrom + cluster.leaseMs + 1 - time.now();
     long steps = Math.max(1, (left + LEASE_STEP_MS - 1) / LEASE_STEP_MS);
-    world.after(
+    time.after(
         steps * LEASE_STEP_MS,
         this::alive,
         () -> {
@@ -210,12 +216,12 @@
   }
 
   private void checkLease() {
-    if (world.now() - leaseFrom > scene.leaseMs) {
+    if (time.now() - leaseFrom > cluster.leaseMs) {
       // A hanging worker does this when it resumes; its tasks do not run meanwhile.
       killAll();
       if (!hung()) {
         session++;
-        leaseFrom = world.now();
+        leaseFrom = time.now();
         changed();
       }
     }
@@ -224,8 +230,8 @@
   // ---- reports
 
   private void beat() {
-    world.after(
-        world.between(scene.reportMs * 3 / 4, scene.reportMs * 5 / 4),
+    time.after(
+        time.between(cluster.reportMs * 3 / 4, cluster.reportMs * 5 / 4),
         this::alive,
         () -> {
           due = true;
@@ -244,43 +250,43 @@
       return;
     }
     if (hung()) {
-      world.after(hungUntil - world.now() + 1, this::alive, this::maybeReport);
+      time.after(hungUntil - time.now() + 1, this::alive, this::maybeReport);
       return;
     }
-    long wait = lastReport + 500 - world.now();
+    long wait = lastReport + 500 - time.now();
     if (wait > 0) {
-      world.after(wait, this::alive, this::maybeReport);
+      time.after(wait, this::alive, this::maybeReport);
       return;
     }
     checkLease();
     inFlight = true;
     due = false;
     changed = false;
-    lastReport = world.now();
-    long sent = world.now();
+    lastReport = time.now();
+    long sent = time.now();
     long inSession = session;
-    String label = scene.labels().get(node);
+    String label = cluster.labels().get(node);
     lastBody = report();
     if (!reaches(label)) {
-      world.after(
+      time.after(
           1,
           this::alive,
           () -> resume(() -> answered(new Http.NotSent("timeout"), sent, inSession, sent)));
       return;
     }
-    scene.net.call(
+    cluster.net.call(
         zone,
         this::alive,
-        scene.address(label),
+        cluster.address(label),
         "POST",
         "/hello",
         lastBody,
         4000,
         outcome -> {
-          long came = world.now();
+          long came = time.now();
           if (deaf()) {
-            world.after(
-                sent + 4000 - world.now(),
+            time.after(
+                sent + 4000 - time.now(),
                 this::alive,
                 () -> resume(() -> answered(new Http.Unknown("timeout"), sent, inSession, came)));
           } else {
@@ -292,7 +298,7 @@
   /** Whatever reaches a hanging machine is taken in when it resumes. */
   private void resume(Runnable work) {
     if (hung()) {
-      world.after(hungUntil - world.now() + 1, this::alive, () -> resume(work));
+      time.after(hungUntil - time.now() + 1, this::alive, () -> resume(work));
     } else {
       checkLease();
       work.run();
@@ -327,7 +333,7 @@
     if (outcome instanceof Http.Answer answer && answer.status() == 200) {
       JsonNode body = Json.parseOrEmpty(answer.body());
       long theirs = body.path("warrant").asLong(-1);
-      if (world.now() - sent <= 4000 && inSession == session && theirs >= token) {
+      if (time.now() - sent <= 4000 && inSession == session && theirs >= token) {
         boolean higher = theirs > token;
         token = theirs;
         leaseFrom = Math.max(leaseFrom, sent);
@@ -338,7 +344,7 @@
       }
     } else if (outcome instanceof Http.Answer answer && answer.status() == 421) {
       String to = Json.parseOrEmpty(answer.body()).path("foreman").asText("");
-      int index = scene.labels().indexOf(to);
+      int index = cluster.labels().indexOf(to);
       if (index >= 0 && index != node) {
         node = index;
         changed = true;
@@ -352,8 +358,8 @@
   }
 
   private void next() {
-    node = (node + 1) % scene.labels().size();
-    world.after(
+    node = (node + 1) % cluster.labels().size();
+    time.after(
         1000,
         this::alive,
         () -> {
@@ -366,7 +372,7 @@
 
   @Override
   public void handle(Http.Request request, Consumer<Http.Response> reply) {
-    handle(request, reply, scene.net.sentAt());
+    handle(request, reply, cluster.net.sentAt());
   }
 
   private void handle(Http.Request request, Consumer<Http.Response> reply, long sent) {
@@ -374,7 +380,7 @@
       return;
     }
     if (hung()) {
-      world.after(hungUntil - world.now() + 1, this::alive, () -> handle(request, reply, sent));
+      time.after(hungUntil - time.now() + 1, this::alive, () -> handle(request, reply, sent));
       return;
     }
     checkLease();
@@ -388,14 +394,14 @@
       return;
     }
     if (body.path("warrant").asLong() < token || body.path("shift").asLong() != session) {
-      refusedLate += world.now() - sent > 1000 ? 1 : 0;
+      refusedLate += time.now() - sent > 1000 ? 1 : 0;
       reply.accept(new Http.Response(409, report()));
       return;
     }
     token = body.path("warrant").asLong();
-    if (world.now() - sent > 1000) {
+    if (time.now() - sent > 1000) {
       carriedOutLate++;
-      scene.commandsCarriedOutLate++;
+      cluster.commandsCarriedOutLate++;
     }
     directWhileMute += muted() ? 1 : 0;
     execute(body.path("orders"), sent);
@@ -409,7 +415,7 @@
       Task task = tasks.get(name);
       switch (order.path("order").asText()) {
         case "start" -> {
-          scene.rules.ordered(name, sentAt);
+          cluster.rules.ordered(name, sentAt);
           if (task == null) {
             start(name, attempt);
           } else if (task.attempt != attempt && task.state.equals("exited")) {
@@ -444,7 +450,7 @@
     task.order = ++orders;
     task.state = "fetching";
     tasks.put(name, task);
-    Scene.Job job = scene.jobs.get(Rules.jobOf(name));
+    SimulatedCluster.Job job = cluster.jobs.get(InvariantChecker.jobOf(name));
     if (job == null) {
       exit(name, task, "unknown");
       return;
@@ -454,11 +460,11 @@
       return;
     }
     long order = task.order;
-    long fetch = images.contains(job.image) ? 0 : scene.slowLinks * world.between(500, 3000);
-    world.after(fetch, this::alive, () -> resume(() -> fetched(name, order, job)));
+    long fetch = images.contains(job.image) ? 0 : cluster.slowLinks * time.between(500, 3000);
+    time.after(fetch, this::alive, () -> resume(() -> fetched(name, order, job)));
   }
 
-  private void fetched(String name, long order, Scene.Job job) {
+  private void fetched(String name, long order, SimulatedCluster.Job job) {
     Task task = tasks.get(name);
     if (task == null || task.order != order || task.state.equals("exited")) {
       return;
@@ -466,30 +472,30 @@
     images.add(job.image);
     task.state = "running";
     task.running = true;
-    scene.rules.started(name, this);
+    cluster.rules.started(name, this);
     long run =
-        scene.results.contains(name)
+        cluster.results.contains(name)
             ? 0
             : failsTasks || job.broken
                 ? 300
                 : slowness
-                    * (1 + (long) job.uneven * Rules.indexOf(name))
-                    * world.between(job.runMs * 3 / 4, job.runMs * 5 / 4);
-    world.after(run, this::alive, () -> resume(() -> finished(name, order, job)));
+                    * (1 + (long) job.uneven * InvariantChecker.indexOf(name))
+                    * time.between(job.runMs * 3 / 4, job.runMs * 5 / 4);
+    time.after(run, this::alive, () -> resume(() -> finished(name, order, job)));
     changed();
   }
 
-  private void finished(String name, long order, Scene.Job job) {
+  private void finished(String name, long order, SimulatedCluster.Job job) {
     Task task = tasks.get(name);
     if (task == null || task.order != order || task.state.equals("exited")) {
       return;
     }
-    if (job.broken || failsTasks && !scene.results.contains(name)) {
+    if (job.broken || failsTasks && !cluster.results.contains(name)) {
       exit(name, task, "error");
     } else {
-      scene.results.add(name);
+      cluster.results.add(name);
       exit(name, task, "done");
-      scene.taskDone(job);
+      cluster.taskDone(job);
     }
   }
 
