--- a/src/main/java/org/fieldtrestle/coordination/Controller.java
+++ b/src/main/java/org/fieldtrestle/coordination/Controller.java
@@ -43,7 +43,7 @@
   private final PeerLink peers;
   private final Loads loads;
   private final Gateway gateway;
-  private final Handover handover;
+  private final LeadershipTransfer leadershipTransfer;
   private final WorkMeter meter;
   private final Map<String, Master> masters = new TreeMap<>();
   private final Set<String> adopting = new HashSet<>();
@@ -90,7 +90,7 @@
             loads,
             new Cancellations(),
             new Stats(meter));
-    this.handover = new Handover(node);
+    this.leadershipTransfer = new LeadershipTransfer(node);
     this.gateway =
         new Gateway(
             node,
@@ -212,7 +212,7 @@
 
   /** Whoever our workers reach had better hold our masters while they do not reach us. */
   private void handOver() {
-    String to = node.acting() ? handover.better(masters.values()) : null;
+    String to = node.acting() ? leadershipTransfer.better(masters.values()) : null;
     if (to != null) {
       LOG.warn("no machine of ours reaches us, but they reach {}: handing over to it", to);
       List.copyOf(masters.keySet()).forEach(master -> node.membership().handOver(master, to));
@@ -230,7 +230,7 @@
         continue;
       }
       for (String master : view.mastersOf(one.getKey())) {
-        if (handover.unreachable(one.getKey(), silentMs, view.machinesOf(master))) {
+        if (leadershipTransfer.unreachable(one.getKey(), silentMs, view.machinesOf(master))) {
           LOG.warn("{} is out of reach of its workers and of us", one.getKey());
           node.membership().takeFrom(master);
         }
@@ -254,7 +254,9 @@
         .forEach(
             p -> {
               peers.send(p.address(), pulse.duplicate());
-              peers.send(p.address(), PeerWire.encode(reactor.wall(), handover.frame(p.label())));
+              peers.send(
+                  p.address(),
+                  PeerWire.encode(reactor.wall(), leadershipTransfer.frame(p.label())));
             });
     if (node.acting()) {
       for (Master master : masters.values()) {
@@ -291,7 +293,7 @@
       } else if (message instanceof PeerWire.Pulse pulse) {
         pulses.put(pulse.sender(), new Heard(reactor.now(), pulse.served()));
       } else if (message instanceof PeerWire.SentOn sent) {
-        handover.heard(sent);
+        leadershipTransfer.heard(sent);
       }
     } catch (PeerWire.BadFrame e) {
       LOG.warn("peer frame refused: {}", e.getMessage());
@@ -346,7 +348,7 @@
   private void finish(String job) {
     List<StateWire.Condition> conditions = new ArrayList<>();
     List<StateWire.Change> changes = new ArrayList<>();
-    if (!Finish.whole(node, job, conditions, changes)) {
+    if (!JobCompletion.whole(node, job, conditions, changes)) {
       return;
     }
     finishing.add(job);
@@ -440,7 +442,7 @@
     View.Kept<Records.Master> holder = view.master(record.master());
     String to = holder == null ? null : holder.record().holder();
     if (to != null) {
-      handover.sentOn(report.machine(), to);
+      leadershipTransfer.sentOn(report.machine(), to);
     }
     reply.accept(
         new Http.Response(
--- a/src/main/java/org/fieldtrestle/coordination/Eviction.java
+++ b/src/main/java/org/fieldtrestle/coordination/Eviction.java
@@ -20,7 +20,7 @@
   private final Falcon falcon;
   private final Machines machines;
   private final Shares shares;
-  private final Faults faults;
+  private final FailureTracker failures;
   private final Placement.Decisions decisions;
   private long last;
 
@@ -29,13 +29,13 @@
       Falcon falcon,
       Machines machines,
       Shares shares,
-      Faults faults,
+      FailureTracker failures,
       Placement.Decisions decisions) {
     this.node = node;
     this.falcon = falcon;
     this.machines = machines;
     this.shares = shares;
-    this.faults = faults;
+    this.failures = failures;
     this.decisions = decisions;
   }
 
@@ -56,7 +56,7 @@
         .forEach(one -> unmet.put(one, one.count()));
     for (Host host : machines.all()) {
       if (machines.usable(host, now)) {
-        for (Placed task : host.placed()) {
+        for (PlacedTask task : host.placed()) {
           if (task.live() && task.stop) {
             meet(unmet, task.cpus);
           }
@@ -70,7 +70,7 @@
         continue;
       }
       List<Falcon.Waiting<Group>> able =
-          faults.avoidsAny(host)
+          failures.avoidsAny(host)
               ? able(stuck, host, type, now)
               : evictors.computeIfAbsent(
                   host.type + "/" + host.zone + "/" + host.spot,
@@ -78,7 +78,7 @@
       List<Falcon.Waiting<Group>> ready = new ArrayList<>();
       for (Falcon.Waiting<Group> one : able) {
         if (unmet.get(one) > 0
-            && Placement.allowed(faults, one.what().range(), one.what().first(), host)) {
+            && Placement.allowed(failures, one.what().range(), one.what().first(), host)) {
           ready.add(one);
         }
       }
@@ -124,7 +124,7 @@
       OwnedRange range = one.what().range();
       if (one.what().first() >= 0
           && type.fits(range.spec)
-          && Placement.allowed(faults, range, one.what().first(), host)
+          && Placement.allowed(failures, range, one.what().first(), host)
           && shares.allows(range.spec)) {
         queue.add(one);
       }
@@ -140,7 +140,7 @@
 
   /** Whether anything on the machine has run so little that it might be evicted at all. */
   private boolean young(Host host, long now) {
-    for (Placed task : host.placed()) {
+    for (PlacedTask task : host.placed()) {
       if (task.live()
           && !task.spared
           && task.range != null
@@ -168,7 +168,7 @@
   }
 
   private static boolean stopping(Host host) {
-    for (Placed task : host.placed()) {
+    for (PlacedTask task : host.placed()) {
       if (task.live() && task.stop) {
         return true;
       }
@@ -180,8 +180,8 @@
   private double evictFor(Falcon.Waiting<Group> drawn, Host host, MachineType type, long now) {
     JobSpec spec = drawn.what().range().spec;
     boolean owed = shares.guaranteed(drawn.what().range());
-    List<Falcon.Running<Placed>> running = new ArrayList<>();
-    for (Placed task : host.placed()) {
+    List<Falcon.Running<PlacedTask>> running = new ArrayList<>();
+    for (PlacedTask task : host.placed()) {
       if (task.live()
           && task.range != null
           && task.range.spec != null
@@ -203,8 +203,8 @@
     double cpus = free.cpus();
     double gpus = free.gpus();
     double memory = free.memoryGb();
-    List<Placed> chosen = new ArrayList<>();
-    for (Falcon.Running<Placed> victim : falcon.victims(drawn, running)) {
+    List<PlacedTask> chosen = new ArrayList<>();
+    for (Falcon.Running<PlacedTask> victim : falcon.victims(drawn, running)) {
       if (cpus >= spec.cpus() && gpus >= spec.gpus() && memory >= spec.memoryGb()) {
         break;
       }
@@ -217,7 +217,7 @@
       return 0;
     }
     double freed = 0;
-    for (Placed victim : chosen) {
+    for (PlacedTask victim : chosen) {
       freed += victim.cpus;
       LOG.debug("task {} gives way to {} ({})", victim, spec.id(), spec.priority());
       node.stats().evicted++;
--- a/src/main/java/org/fieldtrestle/coordination/Faults.java
+++ b/src/main/java/org/fieldtrestle/coordination/FailureTracker.java
@@ -12,8 +12,8 @@
  * when jobs fail there that are under no suspicion; a job is suspect when it failed on several
  * machines and never succeeded.
  */
-final class Faults {
-  private static final Logger LOG = LoggerFactory.getLogger(Faults.class);
+final class FailureTracker {
+  private static final Logger LOG = LoggerFactory.getLogger(FailureTracker.class);
 
   /** Machines that a job without any success must have failed on to be suspect itself. */
   private static final int SUSPECT_AFTER = 3;
@@ -44,11 +44,11 @@
   /** Machines on which some job has failed. */
   private final Set<String> condemning = new HashSet<>();
 
-  Faults(Master master) {
+  FailureTracker(Master master) {
     this.master = master;
   }
 
-  void succeeded(Placed task, long now) {
+  void succeeded(PlacedTask task, long now) {
     task.host.errors = 0;
     task.host.errorJobs.clear();
     JobRecord job = jobs.computeIfAbsent(task.task.job(), j -> new JobRecord());
@@ -67,7 +67,7 @@
    * Looks whether a task takes much longer than its job's others did. Estimates say little about a
    * machine, as they are often wrong by half; the job's own tasks elsewhere say more.
    */
-  void crawled(Placed task, long now) {
+  void crawled(PlacedTask task, long now) {
     JobRecord job = jobs.get(task.task.job());
     Host host = task.host;
     if (job == null
@@ -88,7 +88,7 @@
   }
 
   /** A task failed; decides where and when it, and its machine's others, go next. */
-  void failed(Placed task, OwnedRange.Retry retry, int failures, long now) {
+  void failed(PlacedTask task, OwnedRange.Retry retry, int failures, long now) {
     String id = task.task.job();
     Host host = task.host;
     JobRecord job = jobs.computeIfAbsent(id, j -> new JobRecord());
--- a/src/main/java/org/fieldtrestle/coordination/Fleet.java
+++ b/src/main/java/org/fieldtrestle/coordination/Fleet.java
@@ -28,9 +28,15 @@
   /** Time in which what is remembered of the flow of work fades to a third. */
   private static final double FADES_S = 150;
 
+  /** Machines of a zone that are up, and how many of them have been silent for some reports. */
+  private static final class ZoneCount {
+    int up;
+    int silent;
+  }
+
   private final Master master;
   private final Node node;
-  private final Faults faults;
+  private final FailureTracker failures;
   private final Map<String, Long> refusedUntil = new HashMap<>();
   private final Map<String, Long> strangers = new HashMap<>();
   private final Map<String, Integer> missing = new HashMap<>();
@@ -46,12 +52,12 @@
   /** As of the last look: cheap machines, and by zone all and silent. */
   private int cheap;
 
-  private final Map<String, int[]> zones = new HashMap<>();
+  private final Map<String, ZoneCount> zoneCounts = new HashMap<>();
 
-  Fleet(Master master, Faults faults) {
+  Fleet(Master master, FailureTracker failures) {
     this.master = master;
     this.node = master.node;
-    this.faults = faults;
+    this.failures = failures;
   }
 
   void activated() {
@@ -81,11 +87,11 @@
   }
 
   void tick(long now) {
-    faults.forgetEnded();
+    failures.forgetEnded();
     list(now);
-    look(now);
+    countMachines(now);
     for (Host host : master.machines().all()) {
-      judge(host, now);
+      replaceIfUseless(host, now);
     }
     close();
     giveBack(now);
@@ -95,27 +101,27 @@
   // ---- what is wrong with machines
 
   /** What is asked for each machine is counted once for all. */
-  private void look(long now) {
+  private void countMachines(long now) {
     cheap = 0;
-    zones.clear();
+    zoneCounts.clear();
     for (Host host : master.machines().all()) {
       cheap += host.spot && !host.draining ? 1 : 0;
       if (host.up) {
-        int[] counts = zones.computeIfAbsent(host.zone, z -> new int[2]);
-        counts[0]++;
-        counts[1] += master.machines().silentFor(host, now) > node.reportMs(2) ? 1 : 0;
+        ZoneCount count = zoneCounts.computeIfAbsent(host.zone, z -> new ZoneCount());
+        count.up++;
+        count.silent += master.machines().silentFor(host, now) > node.reportMs(2) ? 1 : 0;
       }
     }
   }
 
-  private void judge(Host host, long now) {
+  private void replaceIfUseless(Host host, long now) {
     MachineType type = node.type(host.type);
     if (host.draining || type == null) {
       return;
     }
-    for (Placed task : host.placed()) {
-      if (task.state() == Placed.State.RUNNING) {
-        faults.crawled(task, now);
+    for (PlacedTask task : host.placed()) {
+      if (task.state() == PlacedTask.State.RUNNING) {
+        failures.crawled(task, now);
       }
     }
     if (host.heardAt < 0 && !host.up && host.ageMs(now) > type.bootS() * 3500) {
@@ -221,10 +227,10 @@
 
   /** Most of a zone silent at once is a cut, not the machines. */
   private boolean zoneSilent(Host host, long now) {
-    int[] counts = zones.get(host.zone);
+    ZoneCount count = zoneCounts.get(host.zone);
     int self = master.machines().silentFor(host, now) > node.reportMs(2) ? 1 : 0;
-    int silent = counts[1] - self;
-    return silent > 0 && silent * 2 >= counts[0] - 1;
+    int silent = count.silent - self;
+    return silent > 0 && silent * 2 >= count.up - 1;
   }
 
   private void drain(Host host, String why) {
@@ -481,14 +487,14 @@
       if (host.draining
           || host.lost && silent(host, now)
           || !kind.servedBy(host)
-          || faults.avoids(kind.range(), host)) {
+          || failures.avoids(kind.range(), host)) {
         continue;
       }
       machines++;
       if (!host.up) {
         booting += Math.max(type.bootS() * 0.2, type.bootS() - host.ageMs(now) / 1000.0);
       }
-      for (Placed task : host.placed()) {
+      for (PlacedTask task : host.placed()) {
         if (task.live() && task.range != null && task.range.spec != null) {
           JobSpec spec = task.range.spec;
           busy += Math.max(2, remainingS(task, type, now)) / perMachine(type, spec);
@@ -545,7 +551,7 @@
     return type.fetchGbPerS() > 0 ? spec.imageGb() / type.fetchGbPerS() : 0;
   }
 
-  private static double remainingS(Placed task, MachineType type, long now) {
+  private static double remainingS(PlacedTask task, MachineType type, long now) {
     JobSpec spec = task.range.spec;
     double fetch =
         task.runningSince >= 0
--- a/src/main/java/org/fieldtrestle/coordination/Gateway.java
+++ b/src/main/java/org/fieldtrestle/coordination/Gateway.java
@@ -233,19 +233,19 @@
 
   private void accept(JobSpec spec, Consumer<Http.Response> reply, int tries) {
     String zone = spec.oneZone() ? loads.roomiestZone(spec, zonesFor(spec)) : null;
-    List<Split.Candidate> candidates = loads.candidates(spec, zone);
+    List<JobSplit.Candidate> candidates = loads.candidates(spec, zone);
     int maxRanges = node.settings().state().txnOps() - 4;
     // A bitmap of done tasks has to fit a value; half of it is left for the rest.
     int maxPart = (int) (node.settings().state().valueKb() * 1024 / 2 * 6);
-    List<Split.Part> parts = Split.split(spec, candidates, maxPart, node.settings().zones());
+    List<JobSplit.Part> parts = JobSplit.split(spec, candidates, maxPart, node.settings().zones());
     if (parts.size() > maxRanges) {
-      parts = Split.split(spec, candidates.subList(0, 1), maxPart, node.settings().zones());
+      parts = JobSplit.split(spec, candidates.subList(0, 1), maxPart, node.settings().zones());
     }
     List<StateWire.Condition> conditions = new ArrayList<>();
     conditions.add(new StateWire.Condition(Records.job(spec.id()), 0));
     conditions.add(new StateWire.Condition(Records.finished(spec.id()), 0));
     Map<String, Long> epochs = new TreeMap<>();
-    for (Split.Part part : parts) {
+    for (JobSplit.Part part : parts) {
       epochs.put(part.master(), node.view().version(Records.master(part.master())));
     }
     // Were a master to change hands meanwhile, its new holder could not tell whether the old one
@@ -253,7 +253,7 @@
     epochs.forEach(
         (master, epoch) -> conditions.add(new StateWire.Condition(Records.master(master), epoch)));
     List<Records.Part> given = new ArrayList<>();
-    for (Split.Part part : parts) {
+    for (JobSplit.Part part : parts) {
       given.add(
           new Records.Part(
               part.master(), epochs.get(part.master()), part.from(), part.to(), part.caps()));
@@ -266,7 +266,7 @@
       return;
     }
     List<StateWire.Change> changes = List.of(new StateWire.Put(Records.job(spec.id()), value, 0));
-    List<Split.Part> taken = parts;
+    List<JobSplit.Part> taken = parts;
     node.store()
         .commit(
             new Store.Txn(conditions, changes),
--- a/src/main/java/org/fieldtrestle/coordination/Host.java
+++ b/src/main/java/org/fieldtrestle/coordination/Host.java
@@ -87,7 +87,7 @@
 
   private long claimUntil;
 
-  private final Map<TaskId, Placed> placed = new HashMap<>();
+  private final Map<TaskId, PlacedTask> placed = new HashMap<>();
   private final Usage usage;
   private int live;
   private int beforeImage;
@@ -154,35 +154,35 @@
 
   // ---- what is on it; sums are kept up, as they are asked for at every turn
 
-  Placed placed(TaskId task) {
+  PlacedTask placed(TaskId task) {
     return placed.get(task);
   }
 
-  Collection<Placed> placed() {
+  Collection<PlacedTask> placed() {
     return placed.values();
   }
 
   /** For whoever changes what is on it meanwhile. */
-  List<Placed> copyOfPlaced() {
+  List<PlacedTask> copyOfPlaced() {
     return List.copyOf(placed.values());
   }
 
-  void put(Placed task) {
-    Placed before = placed.put(task.task, task);
+  void put(PlacedTask task) {
+    PlacedTask before = placed.put(task.task, task);
     if (before != null) {
       count(before, -1);
     }
     count(task, 1);
   }
 
-  void remove(Placed task) {
+  void remove(PlacedTask task) {
     if (placed.remove(task.task, task)) {
       count(task, -1);
     }
   }
 
   /** A task on it has come to another state. */
-  void moved(Placed task, Placed.State next) {
+  void moved(PlacedTask task, PlacedTask.State next) {
     if (task.state() == next) {
       return;
     }
@@ -196,7 +196,7 @@
     }
   }
 
-  private void count(Placed task, int sign) {
+  private void count(PlacedTask task, int sign) {
     if (!task.live()) {
       return;
     }
@@ -318,7 +318,7 @@
   }
 
   /** What the machine is to do now; starts only those tasks that may be. */
-  List<WorkerWire.Command> orders(Predicate<Placed> startable, int most) {
+  List<WorkerWire.Command> orders(Predicate<PlacedTask> startable, int most) {
     List<WorkerWire.Command> orders = new ArrayList<>();
     for (WorkerWire.ReportedTask ghost : ghosts) {
       if (ghost.state() != WorkerWire.TaskState.EXITED) {
@@ -327,7 +327,7 @@
         orders.add(new WorkerWire.Clear(ghost.task(), ghost.attempt()));
       }
     }
-    for (Placed task : placed.values()) {
+    for (PlacedTask task : placed.values()) {
       if (!task.live()) {
         // After a clear the worker no longer knows the attempt, so that a late copy of its start
         // would run it again: only where no such copy can be under way.
@@ -338,14 +338,14 @@
         orders.add(new WorkerWire.Stop(task.task, task.attempt, task.graceS));
       }
     }
-    for (Placed task : placed.values()) {
-      if (task.state() == Placed.State.STARTING && !task.stop && startable.test(task)) {
+    for (PlacedTask task : placed.values()) {
+      if (task.state() == PlacedTask.State.STARTING && !task.stop && startable.test(task)) {
         orders.add(new WorkerWire.Start(task.task, task.attempt));
       }
     }
     List<WorkerWire.Command> sent = orders.size() > most ? orders.subList(0, most) : orders;
     for (WorkerWire.Command order : sent) {
-      Placed task = placed.get(order.task());
+      PlacedTask task = placed.get(order.task());
       if (order instanceof WorkerWire.Start) {
         task.startSent = true;
       } else if (order instanceof WorkerWire.Stop && task != null) {
@@ -357,8 +357,8 @@
 
   /** Starts or stops that the machine has not been told yet. */
   boolean hasNews() {
-    for (Placed task : placed.values()) {
-      if (task.state() == Placed.State.STARTING && !task.startSent && !task.stop) {
+    for (PlacedTask task : placed.values()) {
+      if (task.state() == PlacedTask.State.STARTING && !task.startSent && !task.stop) {
         return true;
       }
       if (task.stop && task.live() && !task.stopSent) {
--- a/src/main/java/org/fieldtrestle/coordination/Lines.java
+++ b/src/main/java/org/fieldtrestle/coordination/ImageDownloads.java
@@ -9,8 +9,8 @@
  * image takes many times its time beside a large one on a line that is shared, and no longer on
  * another.
  */
-final class Lines {
-  private static final Logger LOG = LoggerFactory.getLogger(Lines.class);
+final class ImageDownloads {
+  private static final Logger LOG = LoggerFactory.getLogger(ImageDownloads.class);
 
   /** Weight of the next observation. */
   private static final double WEIGHT = 0.1;
@@ -26,7 +26,7 @@
 
   private double stretch = 1;
 
-  Lines(double reportS) {
+  ImageDownloads(double reportS) {
     this.tellingS = reportS / 2;
   }
 
--- a/src/main/java/org/fieldtrestle/coordination/Finish.java
+++ b/src/main/java/org/fieldtrestle/coordination/JobCompletion.java
@@ -7,8 +7,8 @@
 import org.fieldtrestle.protocol.StateWire;
 
 /** Turns a job whose tasks are all durably done into its final record, in one transaction. */
-final class Finish {
-  private Finish() {}
+final class JobCompletion {
+  private JobCompletion() {}
 
   /**
    * Adds what ends the job if all its ranges are complete once {@code key} holds {@code next}.
--- a/src/main/java/org/fieldtrestle/coordination/Split.java
+++ b/src/main/java/org/fieldtrestle/coordination/JobSplit.java
@@ -9,8 +9,8 @@
 import org.fieldtrestle.protocol.JobSpec;
 
 /** Splits a job into ranges over masters by their free room. */
-public final class Split {
-  private Split() {}
+public final class JobSplit {
+  private JobSplit() {}
 
   /**
    * A master that may take tasks: how many it has room for now, what waits there already, and the
--- a/src/main/java/org/fieldtrestle/coordination/Handover.java
+++ b/src/main/java/org/fieldtrestle/coordination/LeadershipTransfer.java
@@ -11,7 +11,7 @@
  * machines would end with the workers' leases. But workers that get no answer here ask the others,
  * who send them on to us and tell us so: then those had better hold our masters.
  */
-final class Handover {
+final class LeadershipTransfer {
   /** Reports of a machine that go by before it counts as unheard. */
   private static final double UNHEARD = 1.5;
 
@@ -42,7 +42,7 @@
   /** What the others have told of machines that they have sent on to us. */
   private final Map<String, Told> told = new HashMap<>();
 
-  Handover(Node node) {
+  LeadershipTransfer(Node node) {
     this.node = node;
   }
 
--- a/src/main/java/org/fieldtrestle/coordination/Loads.java
+++ b/src/main/java/org/fieldtrestle/coordination/Loads.java
@@ -46,8 +46,8 @@
   }
 
   /** Those that may be given ranges; our own master where none is known. */
-  List<Split.Candidate> candidates(JobSpec spec, String zone) {
-    List<Split.Candidate> all = new ArrayList<>();
+  List<JobSplit.Candidate> candidates(JobSpec spec, String zone) {
+    List<JobSplit.Candidate> all = new ArrayList<>();
     for (Map.Entry<String, Known> entry : known.entrySet()) {
       Known one = entry.getValue();
       if (!fresh(one)) {
@@ -61,14 +61,14 @@
         }
       }
       all.add(
-          new Split.Candidate(
+          new JobSplit.Candidate(
               entry.getKey(),
               free,
               one.load.waitingCpus() + one.cpusTaken,
               one.load.capacityCpus()));
     }
     if (all.isEmpty()) {
-      all.add(new Split.Candidate(self, 0, 0, 0));
+      all.add(new JobSplit.Candidate(self, 0, 0, 0));
     }
     return all;
   }
@@ -99,9 +99,9 @@
   }
 
   /** The fresh master other than this one where least waits for its CPUs; null if there is none. */
-  Split.Candidate leastLoaded(JobSpec spec, String zone, String except) {
-    Split.Candidate best = null;
-    for (Split.Candidate one : candidates(spec, zone)) {
+  JobSplit.Candidate leastLoaded(JobSpec spec, String zone, String except) {
+    JobSplit.Candidate best = null;
+    for (JobSplit.Candidate one : candidates(spec, zone)) {
       if (one.master().equals(except) || !known.containsKey(one.master())) {
         continue;
       }
@@ -115,8 +115,8 @@
   }
 
   /** What was handed out since a master last told counts as taken. */
-  void taken(JobSpec spec, List<Split.Part> parts) {
-    for (Split.Part part : parts) {
+  void taken(JobSpec spec, List<JobSplit.Part> parts) {
+    for (JobSplit.Part part : parts) {
       Known one = known.get(part.master());
       if (one != null) {
         one.cpusTaken += (part.to() - part.from()) * spec.cpus();
--- a/src/main/java/org/fieldtrestle/coordination/Machines.java
+++ b/src/main/java/org/fieldtrestle/coordination/Machines.java
@@ -34,7 +34,7 @@
   private final CommandPolicy policy;
   private final Map<String, Host> hosts = new TreeMap<>();
   private final Usage usage = new Usage();
-  private final Lines lines;
+  private final ImageDownloads downloads;
 
   /** Those of which we do not know yet what an earlier epoch has left on them. */
   private final Set<Host> unresolved = new LinkedHashSet<>();
@@ -63,7 +63,7 @@
     this.node = master.node;
     this.ranges = ranges;
     this.policy = master.policy();
-    this.lines = new Lines(node.settings().workers().reportS());
+    this.downloads = new ImageDownloads(node.settings().workers().reportS());
   }
 
   Iterable<Host> all() {
@@ -82,8 +82,8 @@
     return usage;
   }
 
-  Lines lines() {
-    return lines;
+  ImageDownloads downloads() {
+    return downloads;
   }
 
   void forgetMissing(Map<String, ?> by) {
@@ -287,7 +287,7 @@
     }
     List<WorkerWire.Command> orders = ordersFor(host);
     for (WorkerWire.Command order : orders) {
-      Placed task = host.placed(order.task());
+      PlacedTask task = host.placed(order.task());
       if (task != null && order instanceof WorkerWire.Start) {
         task.answeredSeq = host.seq;
       }
@@ -303,12 +303,12 @@
     return host.orders(task -> mayStart(host) && mayStart(task), MOST_ORDERS);
   }
 
-  private boolean mustStop(Placed task) {
+  private boolean mustStop(PlacedTask task) {
     boolean stopsAtOnce = task.stop && task.graceS <= 0;
     return task.live() && !stopsAtOnce && task.range != null && policy.mustStop(task.range);
   }
 
-  private boolean mayStart(Placed task) {
+  private boolean mayStart(PlacedTask task) {
     return task.range != null && policy.mayStart(task.range);
   }
 
@@ -367,10 +367,10 @@
   private void listen(Host host, WorkerWire.Report report, long now) {
     boolean lacks = false;
     boolean has = false;
-    for (Placed task : host.placed()) {
+    for (PlacedTask task : host.placed()) {
       if (task.answeredSeq >= 0 && task.answeredSeq < report.seq()) {
-        lacks |= task.state() == Placed.State.STARTING;
-        has |= task.state() != Placed.State.STARTING;
+        lacks |= task.state() == PlacedTask.State.STARTING;
+        has |= task.state() != PlacedTask.State.STARTING;
         task.answeredSeq = -1;
       }
     }
@@ -396,7 +396,7 @@
     host.ghosts.clear();
     duplicates.values().removeIf(holder -> holder == host);
     for (WorkerWire.ReportedTask reported : report.tasks()) {
-      Placed task = host.placed(reported.task());
+      PlacedTask task = host.placed(reported.task());
       if (task == null || task.attempt != reported.attempt()) {
         task = found(host, reported, task);
         changed |= task != null;
@@ -413,7 +413,7 @@
     if (shown == host.placed().size()) {
       return changed;
     }
-    for (Placed task : host.copyOfPlaced()) {
+    for (PlacedTask task : host.copyOfPlaced()) {
       if (task.shownIn == report.seq()) {
         continue;
       }
@@ -421,7 +421,7 @@
         if (task.clearable) {
           host.remove(task);
         }
-      } else if ((task.state() != Placed.State.STARTING || task.stop) && host.quiet()) {
+      } else if ((task.state() != PlacedTask.State.STARTING || task.stop) && host.quiet()) {
         // Gone, unless a start of unknown fate may still bring it back.
         ranges.gone(task);
         changed = true;
@@ -446,7 +446,7 @@
   }
 
   /** A task on a machine that we have not placed there in this epoch, or not as this attempt. */
-  private Placed found(Host host, WorkerWire.ReportedTask reported, Placed expected) {
+  private PlacedTask found(Host host, WorkerWire.ReportedTask reported, PlacedTask expected) {
     OwnedRange range = ranges.of(reported.task());
     boolean exited = reported.state() == WorkerWire.TaskState.EXITED;
     if (range == null) {
@@ -463,7 +463,8 @@
       if (expected != null) {
         host.remove(expected);
       }
-      Placed task = new Placed(reported.task(), reported.attempt(), host, range, node.now(), 0);
+      PlacedTask task =
+          new PlacedTask(reported.task(), reported.attempt(), host, range, node.now(), 0);
       host.put(task);
       return task;
     }
@@ -471,13 +472,13 @@
       return null;
     }
     if (expected != null) {
-      if (expected.state() != Placed.State.STARTING) {
+      if (expected.state() != PlacedTask.State.STARTING) {
         return null;
       }
       host.remove(expected);
     }
-    Placed task =
-        new Placed(
+    PlacedTask task =
+        new PlacedTask(
             reported.task(),
             reported.attempt(),
             host,
@@ -495,28 +496,28 @@
   }
 
   /** Takes over a task's reported state; true where it has ended by that. */
-  private boolean follow(Placed task, WorkerWire.ReportedTask reported) {
+  private boolean follow(PlacedTask task, WorkerWire.ReportedTask reported) {
     long now = node.now();
     Host host = task.host;
     task.startSent = true;
     boolean ended = false;
     boolean wasBefore = task.state().beforeImage();
     switch (reported.state()) {
-      case FETCHING -> host.moved(task, Placed.State.FETCHING);
+      case FETCHING -> host.moved(task, PlacedTask.State.FETCHING);
       case RUNNING -> {
         if (task.runningSince < 0) {
           task.runningSince = now;
           if (task.fetchBesideS > 0) {
-            lines.came((now - task.placedAt) / 1000.0, task.fetchBesideS);
+            downloads.came((now - task.placedAt) / 1000.0, task.fetchBesideS);
           }
         }
-        host.moved(task, Placed.State.RUNNING);
+        host.moved(task, PlacedTask.State.RUNNING);
       }
-      case SAVING -> host.moved(task, Placed.State.SAVING);
+      case SAVING -> host.moved(task, PlacedTask.State.SAVING);
       case EXITED -> {
         if (task.live()) {
           ended = true;
-          host.moved(task, Placed.State.EXITED);
+          host.moved(task, PlacedTask.State.EXITED);
           task.cause = reported.cause();
           ranges.exited(task);
         }
@@ -539,7 +540,7 @@
     duplicates.values().removeIf(holder -> holder == host);
     boolean hostGone = host.lost || host.returning || !node.view().machines().containsKey(host.id);
     int lost = 0;
-    for (Placed task : host.copyOfPlaced()) {
+    for (PlacedTask task : host.copyOfPlaced()) {
       if (task.session != host.session || hostGone) {
         if (task.live()) {
           lost++;
@@ -563,7 +564,7 @@
       host.drain("spot notice");
       LOG.info("machine {} will be taken in {} s", host.id, noticeS);
     }
-    for (Placed task : host.copyOfPlaced()) {
+    for (PlacedTask task : host.copyOfPlaced()) {
       if (task.live() && !task.stop && task.range != null && task.range.spec != null) {
         JobSpec spec = task.range.spec;
         double remaining = task.remainingS(node.now(), spec.estimateS());
@@ -598,14 +599,14 @@
     news.add(host);
   }
 
-  void stop(Placed task, double graceS) {
+  void stop(PlacedTask task, double graceS) {
     if (!task.live() || task.stop && task.graceS <= graceS) {
       return;
     }
     task.stop = true;
     task.stopSent = false;
     task.graceS = graceS;
-    if (task.state() == Placed.State.STARTING && !task.startSent) {
+    if (task.state() == PlacedTask.State.STARTING && !task.startSent) {
       ranges.gone(task);
     } else {
       news.add(task.host);
@@ -632,7 +633,7 @@
   }
 
   /** Why a task that is to be stopped is still there, as the reader of a log would ask. */
-  String stopPendingBecause(Placed task) {
+  String stopPendingBecause(PlacedTask task) {
     Host host = task.host;
     if (!policy.mayAcknowledge()) {
       return "this controller may not act";
@@ -690,8 +691,8 @@
     // Its fate is unknown: it may be executed minutes later, as long as token and session match.
     // A higher token ends that as soon as the machine has seen it.
     raiseToken(host);
-    for (Placed task : host.placed()) {
-      if (task.state() == Placed.State.STARTING && task.startSent) {
+    for (PlacedTask task : host.placed()) {
+      if (task.state() == PlacedTask.State.STARTING && task.startSent) {
         task.answeredSeq = host.seq; // its next report shows whether it came
       }
     }
--- a/src/main/java/org/fieldtrestle/coordination/Master.java
+++ b/src/main/java/org/fieldtrestle/coordination/Master.java
@@ -66,8 +66,8 @@
   private final Roster roster;
   private final Fleet fleet;
   private final Shares shares;
-  private final Faults faults;
-  private final Rehand rehand;
+  private final FailureTracker failures;
+  private final RangeReassignment reassignment;
   private final boolean othersMayAct;
   private final Runnable activated;
   private final List<Unanswered> unanswered = new ArrayList<>();
@@ -88,13 +88,13 @@
     this.othersMayAct = othersMayAct;
     this.activated = activated;
     this.policy = new CommandPolicy(node, name, epoch);
-    this.faults = new Faults(this);
+    this.failures = new FailureTracker(this);
     this.ranges = new Ranges(this);
     this.machines = new Machines(this, ranges);
     this.roster = new Roster(this);
-    this.fleet = new Fleet(this, faults);
+    this.fleet = new Fleet(this, failures);
     this.shares = new Shares(this);
-    this.rehand = new Rehand(this);
+    this.reassignment = new RangeReassignment(this);
     this.placement =
         new Placement(
             node,
@@ -104,8 +104,8 @@
             machines,
             ranges,
             shares,
-            faults,
-            machines.lines(),
+            failures,
+            machines.downloads(),
             this);
   }
 
@@ -155,8 +155,8 @@
     return roster;
   }
 
-  Faults faults() {
-    return faults;
+  FailureTracker failures() {
+    return failures;
   }
 
   boolean running() {
@@ -202,7 +202,7 @@
   }
 
   @Override
-  public void stop(Placed task, double graceS) {
+  public void stop(PlacedTask task, double graceS) {
     machines.stop(task, graceS);
   }
 
@@ -217,7 +217,7 @@
     OwnedRange.Retry retry = range.retries.get(offset);
     long since = retry == null ? range.waitingSince : retry.waitingSince;
     TaskId id = new TaskId(range.key.job(), range.record.from() + offset);
-    Placed task = new Placed(id, attempt, host, range, now, (now - since) / 1000.0);
+    PlacedTask task = new PlacedTask(id, attempt, host, range, now, (now - since) / 1000.0);
     MachineType type = node.type(host.type);
     if (host.fetching() && !host.hasImage(range.spec.image())) {
       task.fetchBesideS = Fleet.fetchS(type, range.spec);
@@ -239,7 +239,7 @@
   }
 
   /** One line for the first start after each time that the fence was closed: what allowed it. */
-  private void logFirstStart(Placed task) {
+  private void logFirstStart(PlacedTask task) {
     Fence fence = node.membership().fence();
     if (loggedOpening == fence.openings()) {
       return;
@@ -392,7 +392,7 @@
       shares.tick();
       node.stats().work.run(Work.FLEET_SIZING, () -> fleet.tick(now));
       ranges.writePartial(now);
-      rehand.tick(now);
+      reassignment.tick(now);
       report(now);
       passSoon();
     }
@@ -449,7 +449,7 @@
       }
       capacity += type.cpus();
       used += host.usedCpus();
-      for (Placed task : host.placed()) {
+      for (PlacedTask task : host.placed()) {
         if (task.live() && task.runningSince < 0) {
           fetching += task.cpus;
         }
@@ -499,8 +499,8 @@
   int runningOf(String job) {
     int count = 0;
     for (OwnedRange range : ranges.ofJob(job)) {
-      for (Placed task : range.placed.values()) {
-        if (task.state() == Placed.State.RUNNING || task.state() == Placed.State.SAVING) {
+      for (PlacedTask task : range.placed.values()) {
+        if (task.state() == PlacedTask.State.RUNNING || task.state() == PlacedTask.State.SAVING) {
           count++;
         }
       }
--- a/src/main/java/org/fieldtrestle/coordination/OwnedRange.java
+++ b/src/main/java/org/fieldtrestle/coordination/OwnedRange.java
@@ -49,10 +49,10 @@
    */
   final BitSet finished = new BitSet();
 
-  final Int2ObjectMap<Placed> placed = new Int2ObjectOpenHashMap<>();
+  final Int2ObjectMap<PlacedTask> placed = new Int2ObjectOpenHashMap<>();
 
   /** Tasks that have exited as done and wait on their machines until that is durable. */
-  final Set<Placed> exited = new HashSet<>();
+  final Set<PlacedTask> exited = new HashSet<>();
 
   static final long NOT_WITHHELD = -1;
 
@@ -94,7 +94,7 @@
     return record.done().get(offset);
   }
 
-  void place(int offset, Placed task) {
+  void place(int offset, PlacedTask task) {
     fresh.clear(offset);
     retries.remove(offset);
     placed.put(offset, task);
@@ -152,7 +152,7 @@
   /** How many of its tasks are on machines of a zone. */
   int inZone(String name) {
     int count = 0;
-    for (Placed task : placed.values()) {
+    for (PlacedTask task : placed.values()) {
       if (task.host.zone.equals(name)) {
         count++;
       }
--- a/src/main/java/org/fieldtrestle/coordination/Placed.java
+++ b/src/main/java/org/fieldtrestle/coordination/PlacedTask.java
@@ -4,7 +4,7 @@
 import org.fieldtrestle.protocol.WorkerWire.Cause;
 
 /** A task that is, or may be, on a machine. */
-final class Placed {
+final class PlacedTask {
   /** Where it stands, as far as the machine has told. */
   enum State {
     /** Its start is on the way, or will be. */
@@ -76,7 +76,7 @@
 
   final double waitedS;
 
-  Placed(TaskId task, long attempt, Host host, OwnedRange range, long now, double waitedS) {
+  PlacedTask(TaskId task, long attempt, Host host, OwnedRange range, long now, double waitedS) {
     this.task = task;
     this.attempt = attempt;
     this.host = host;
--- a/src/main/java/org/fieldtrestle/coordination/Placement.java
+++ b/src/main/java/org/fieldtrestle/coordination/Placement.java
@@ -57,7 +57,7 @@
 
     long nextAttempt();
 
-    void stop(Placed task, double graceS);
+    void stop(PlacedTask task, double graceS);
   }
 
   private final Node node;
@@ -67,8 +67,8 @@
   private final Machines machines;
   private final Ranges ranges;
   private final Shares shares;
-  private final Faults faults;
-  private final Lines lines;
+  private final FailureTracker failures;
+  private final ImageDownloads downloads;
   private final Decisions decisions;
   private final Eviction eviction;
   private double urgentCpus;
@@ -82,8 +82,8 @@
       Machines machines,
       Ranges ranges,
       Shares shares,
-      Faults faults,
-      Lines lines,
+      FailureTracker failures,
+      ImageDownloads downloads,
       Decisions decisions) {
     this.node = node;
     this.master = master;
@@ -92,10 +92,10 @@
     this.machines = machines;
     this.ranges = ranges;
     this.shares = shares;
-    this.faults = faults;
-    this.lines = lines;
+    this.failures = failures;
+    this.downloads = downloads;
     this.decisions = decisions;
-    this.eviction = new Eviction(node, falcon, machines, shares, faults, decisions);
+    this.eviction = new Eviction(node, falcon, machines, shares, failures, decisions);
   }
 
   /** Some tasks of a range that have waited equally long. */
@@ -170,7 +170,7 @@
     boolean hasRoomFor(OwnedRange range) {
       int offset = range.firstWaiting();
       for (Host.Room room : rooms) {
-        if (room.fits(range.spec) && allowed(faults, range, offset, room.host)) {
+        if (room.fits(range.spec) && allowed(failures, range, offset, room.host)) {
           return true;
         }
       }
@@ -437,7 +437,7 @@
    */
   private static double slotsFor(Host host, MachineType type, JobSpec spec) {
     double others = 0;
-    for (Placed task : host.placed()) {
+    for (PlacedTask task : host.placed()) {
       if (task.live()
           && (task.range == null
               || task.range.spec == null
@@ -449,13 +449,13 @@
     return spec.cpus() > 0 ? Math.min(all, Math.floor((type.cpus() - others) / spec.cpus())) : all;
   }
 
-  static boolean allowed(Faults faults, OwnedRange range, int offset, Host host) {
+  static boolean allowed(FailureTracker failures, OwnedRange range, int offset, Host host) {
     JobSpec spec = range.spec;
     return (spec.types().isEmpty() || spec.types().contains(host.type))
         && (spec.spot() || !host.spot)
         && range.zoneAllows(host.zone)
         && host.placed(new TaskId(range.key.job(), range.record.from() + offset)) == null
-        && !faults.avoids(range, host);
+        && !failures.avoids(range, host);
   }
 
   /** The fitting machine with the least room left, of those that have the image if any has it. */
@@ -463,10 +463,10 @@
     OwnedRange range = group.range();
     JobSpec spec = range.spec;
     // Two fetches at once share the line: both tasks start when the later would have anyway. One
-    // that hurries goes there all the same, unless lines were seen to be shared: then its small
+    // that hurries goes there all the same, unless downloads were seen to be shared: then its small
     // image takes as long as a large one beside it, and who has it will have room before.
     boolean hurried =
-        node.hurried(spec) && (!lines.shared() || usedUp(group, pass.now) > SHARES_FROM);
+        node.hurried(spec) && (!downloads.shared() || usedUp(group, pass.now) > SHARES_FROM);
     Host.Room best = null;
     boolean bestHas = false;
     double bestLeft = 0;
@@ -483,7 +483,7 @@
       if ((best == null
               || (has && !bestHas)
               || (has == bestHas && closer(room, left, best, bestLeft, has)))
-          && allowed(faults, range, offset, room.host)) {
+          && allowed(failures, range, offset, room.host)) {
         best = room;
         bestHas = has;
         bestLeft = left;
--- a/src/main/java/org/fieldtrestle/coordination/Rehand.java
+++ b/src/main/java/org/fieldtrestle/coordination/RangeReassignment.java
@@ -14,8 +14,8 @@
  * that are nowhere go, as the tail of a range that becomes a range of its own. Those that were lost
  * go too: where the cloud has no more machines to give, they would wait here for ever.
  */
-final class Rehand {
-  private static final Logger LOG = LoggerFactory.getLogger(Rehand.class);
+final class RangeReassignment {
+  private static final Logger LOG = LoggerFactory.getLogger(RangeReassignment.class);
 
   /** How many times more has to wait here than there, where neither has room. */
   private static final double STEEPER = 1.5;
@@ -25,7 +25,7 @@
   private boolean writing;
   private long nextAt;
 
-  Rehand(Master master) {
+  RangeReassignment(Master master) {
     this.master = master;
     this.node = master.node;
   }
@@ -76,7 +76,7 @@
 
   private boolean hand(OwnedRange range, int tail, double waiting, double capacity) {
     String zone = range.zone != null ? range.zone : range.spec.zone();
-    Split.Candidate to = node.loads().leastLoaded(range.spec, zone, master.name);
+    JobSplit.Candidate to = node.loads().leastLoaded(range.spec, zone, master.name);
     if (to == null || node.view().master(to.master()) == null) {
       return false;
     }
--- a/src/main/java/org/fieldtrestle/coordination/Ranges.java
+++ b/src/main/java/org/fieldtrestle/coordination/Ranges.java
@@ -112,7 +112,7 @@
     range.fresh.clear(range.record.size(), Math.max(range.record.size(), range.fresh.length()));
     range.finished.andNot(range.record.done());
     range.fresh.andNot(range.record.done());
-    for (Placed task : List.copyOf(range.exited)) {
+    for (PlacedTask task : List.copyOf(range.exited)) {
       if (range.isDone(task.offset())) {
         task.clearable = true;
         range.exited.remove(task);
@@ -141,11 +141,11 @@
     if (same.isEmpty()) {
       byJob.remove(range.key.job());
     }
-    for (Placed task : range.placed.values()) {
+    for (PlacedTask task : range.placed.values()) {
       task.range = null;
       master.stop(task, 0);
     }
-    for (Placed task : range.exited) {
+    for (PlacedTask task : range.exited) {
       task.range = null;
       task.clearable = true;
     }
@@ -164,7 +164,7 @@
         LOG.info("job {} has ended, winding up range {}", range.key.job(), range.key);
       }
       stopAll(range);
-      for (Placed task : range.exited) {
+      for (PlacedTask task : range.exited) {
         task.clearable = true;
       }
       range.exited.clear();
@@ -189,7 +189,7 @@
     if (range.stoppingSince < 0) {
       range.stoppingSince = node.now();
     }
-    for (Placed task : List.copyOf(range.placed.values())) {
+    for (PlacedTask task : List.copyOf(range.placed.values())) {
       master.stop(task, 0);
     }
   }
@@ -204,7 +204,7 @@
         continue;
       }
       range.unstoppedLogged = true;
-      Placed task = range.placed.values().iterator().next();
+      PlacedTask task = range.placed.values().iterator().next();
       LOG.atWarn()
           .addKeyValue("range", range.key)
           .addKeyValue("tasks", range.placed.size())
@@ -243,7 +243,7 @@
   // ---- tasks
 
   /** A task has ended by itself, or by a stop. */
-  void exited(Placed task) {
+  void exited(PlacedTask task) {
     OwnedRange range = task.range;
     long now = node.now();
     LOG.debug("task {} exited: {}", task, task.cause);
@@ -254,7 +254,7 @@
     int offset = task.offset();
     if (task.cause == WorkerWire.Cause.DONE) {
       range.finish(offset);
-      master.faults().succeeded(task, now);
+      master.failures().succeeded(task, now);
       if (range.ended || range.isDone(offset)) {
         task.clearable = true;
       } else {
@@ -272,7 +272,7 @@
       case ERROR -> {
         // Waiting starts anew: a task that fails everywhere must not age into evicting others.
         retry.waitingSince = now;
-        master.faults().failed(task, retry, range.failures.addTo(offset, 1) + 1, now);
+        master.failures().failed(task, retry, range.failures.addTo(offset, 1) + 1, now);
       }
       case NO_ROOM, BUSY, UNKNOWN -> {
         retry.notBefore = now + node.reportMs(0.5);
@@ -284,7 +284,7 @@
   }
 
   /** The machine does not have this task any more, nor can it get it by anything we sent. */
-  void gone(Placed task) {
+  void gone(PlacedTask task) {
     task.host.remove(task);
     OwnedRange range = task.range;
     if (range == null) {
@@ -374,7 +374,7 @@
     Records.Range next = withFinished(range);
     List<StateWire.Condition> conditions = unchanged(range);
     List<StateWire.Change> changes = new ArrayList<>();
-    if (!Finish.add(node, range.key, next, conditions, changes)) {
+    if (!JobCompletion.add(node, range.key, next, conditions, changes)) {
       changes.add(new StateWire.Put(Records.range(range.key), Records.write(next), 0));
     }
     range.writeAt = -1;
--- a/src/main/java/org/fieldtrestle/coordination/Usage.java
+++ b/src/main/java/org/fieldtrestle/coordination/Usage.java
@@ -15,14 +15,14 @@
 
   private final Object2ObjectOpenHashMap<String, Sum> teams = new Object2ObjectOpenHashMap<>();
 
-  void add(Placed task) {
+  void add(PlacedTask task) {
     Sum sum = teams.computeIfAbsent(task.team, t -> new Sum());
     sum.tasks++;
     sum.cpus += task.cpus;
     sum.gpus += task.gpus;
   }
 
-  void remove(Placed task) {
+  void remove(PlacedTask task) {
     Sum sum = teams.get(task.team);
     sum.cpus -= task.cpus;
     sum.gpus -= task.gpus;
--- a/src/test/java/org/fieldtrestle/coordination/LinesTest.java
+++ b/src/test/java/org/fieldtrestle/coordination/ImageDownloadsTest.java
@@ -8,9 +8,10 @@
 import net.jqwik.api.constraints.DoubleRange;
 import net.jqwik.api.constraints.LongRange;
 
-class LinesTest {
+class ImageDownloadsTest {
   /** An image of so many seconds came after what it takes, by a third more or less, and telling. */
-  private static void images(Lines lines, SplittableRandom random, double aloneS, double times) {
+  private static void images(
+      ImageDownloads lines, SplittableRandom random, double aloneS, double times) {
     for (int i = 0; i < 60; i++) {
       double fetchS = aloneS * times * (0.67 + random.nextDouble() * 0.66);
       lines.came(fetchS + random.nextDouble() * 4, aloneS);
@@ -22,7 +23,7 @@
       @ForAll @DoubleRange(min = 5, max = 120) double aloneS,
       @ForAll @LongRange(min = 0) long seed) {
     SplittableRandom random = new SplittableRandom(seed);
-    Lines lines = new Lines(4);
+    ImageDownloads lines = new ImageDownloads(4);
     images(lines, random, aloneS, 1);
     assertEquals(false, lines.shared(), "each has a line of its own");
     images(lines, random, aloneS, 2.4);
--- a/src/test/java/org/fieldtrestle/coordination/SplitTest.java
+++ b/src/test/java/org/fieldtrestle/coordination/JobSplitTest.java
@@ -12,7 +12,7 @@
 import org.fieldtrestle.protocol.JobSpec;
 import org.fieldtrestle.protocol.Priority;
 
-class SplitTest {
+class JobSplitTest {
   private static JobSpec job(int tasks, boolean spread) {
     return new JobSpec(
         "job-1",
@@ -43,16 +43,16 @@
       @ForAll boolean spread,
       @ForAll @Size(min = 1, max = 5) List<@IntRange(max = 400) Integer> rooms,
       @ForAll @IntRange(min = 5_000, max = 25_000) int maxPart) {
-    List<Split.Candidate> candidates = new ArrayList<>();
+    List<JobSplit.Candidate> candidates = new ArrayList<>();
     for (int i = 0; i < rooms.size(); i++) {
-      candidates.add(new Split.Candidate("m" + i, rooms.get(i), 10.0 * i, 100));
+      candidates.add(new JobSplit.Candidate("m" + i, rooms.get(i), 10.0 * i, 100));
     }
     JobSpec job = job(tasks, spread);
-    List<Split.Part> parts = Split.split(job, candidates, maxPart, List.of("a", "b"));
+    List<JobSplit.Part> parts = JobSplit.split(job, candidates, maxPart, List.of("a", "b"));
     int next = 0;
     int capA = 0;
     int capB = 0;
-    for (Split.Part part : parts) {
+    for (JobSplit.Part part : parts) {
       assertEquals(next, part.from());
       assertTrue(part.to() > part.from() && part.to() - part.from() <= maxPart);
       next = part.to();
--- a/src/test/java/org/fieldtrestle/coordination/MasterDecisionTest.java
+++ b/src/test/java/org/fieldtrestle/coordination/MasterDecisionTest.java
@@ -52,14 +52,14 @@
     fixture.showToken();
     fixture.report();
     fixture.reportRunning();
-    for (Placed task : fixture.range().placed.values()) {
+    for (PlacedTask task : fixture.range().placed.values()) {
       fixture.master.stop(task, 20);
     }
     assertEquals(MasterFixture.TASKS, MasterFixture.orders(fixture.reportRunning(), "stop"));
     fixture.commitCancellation();
     assertEquals(MasterFixture.TASKS, MasterFixture.orders(fixture.reportRunning(), "stop"));
     assertEquals(MasterFixture.TASKS, fixture.range().placed.size());
-    for (Placed task : fixture.range().placed.values()) {
+    for (PlacedTask task : fixture.range().placed.values()) {
       assertEquals(0, task.graceS);
     }
   }
