Tests: figures of the deployments and a controller's settings stand once

No change of behaviour. The three sets of figures that two tests named by arrays are Deployment.smallOfEachKind; StateAccessTest takes the settings of SimulatedNetwork.

--- a/src/test/java/org/fieldtrestle/rehearsal/ConcurrentFailuresTest.java
+++ b/src/test/java/org/fieldtrestle/rehearsal/ConcurrentFailuresTest.java
@@ -22,23 +22,13 @@
 class ConcurrentFailuresTest {
   private static final int SEEDS = 3;
 
-  /**
-   * Reports, leases and cancellations of the two large deployments and of a small one, in ms. In
-   * the first and the last a controller may act for longer without word of the state service than
-   * its workers' lease; in the second for less.
-   */
-  private static final long[][] FIGURES = {
-    {4000, 22_000, 52_000}, {6000, 34_000, 64_000}, {2500, 16_000, 46_000}
-  };
-
   private static void meet(int capacity, Consumer<SimulatedCluster> meeting) {
-    for (long[] figures : FIGURES) {
+    for (Deployment deployment : Deployment.smallOfEachKind()) {
       for (long seed = 1; seed <= SEEDS; seed++) {
         SimulatedCluster cluster =
-            new SimulatedCluster(
-                new SplittableRandom(seed), capacity, figures[0], figures[1], figures[2]);
+            new SimulatedCluster(new SplittableRandom(seed), capacity, deployment);
         meeting.accept(cluster);
-        String where = "seed " + seed + ", lease " + figures[1];
+        String where = "seed " + seed + ", lease " + deployment.leaseMs();
         for (long end = cluster.time.now() + 500_000;
             cluster.time.now() < end && !over(cluster); ) {
           cluster.time.runUntil(cluster.time.now() + 5000);
--- a/src/test/java/org/fieldtrestle/rehearsal/ConfirmedCancellationTest.java
+++ b/src/test/java/org/fieldtrestle/rehearsal/ConfirmedCancellationTest.java
@@ -29,11 +29,6 @@
 class ConfirmedCancellationTest {
   private static final int SEEDS = 3;
 
-  /** Reports, leases and cancellations of the two large deployments and of a small one, in ms. */
-  private static final long[][] FIGURES = {
-    {4000, 22_000, 52_000}, {6000, 34_000, 64_000}, {2500, 16_000, 46_000}
-  };
-
   private static final int MACHINES = 90;
 
   /** Each fills a machine, so that after an outage many machines report within a moment. */
@@ -48,13 +43,12 @@
   private static final long SETTLED_MS = 60_000;
 
   private static void forEachDeployment(Consumer<SimulatedCluster> scenario) {
-    for (long[] figures : FIGURES) {
+    for (Deployment deployment : Deployment.smallOfEachKind()) {
       for (long seed = 1; seed <= SEEDS; seed++) {
         SimulatedCluster cluster =
-            new SimulatedCluster(
-                new SplittableRandom(seed), MACHINES, figures[0], figures[1], figures[2]);
+            new SimulatedCluster(new SplittableRandom(seed), MACHINES, deployment);
         scenario.accept(cluster);
-        String where = "seed " + seed + ", lease " + figures[1];
+        String where = "seed " + seed + ", lease " + deployment.leaseMs();
         assertEquals(List.of(), cluster.rules.broken, where);
       }
     }
--- a/src/test/java/org/fieldtrestle/rehearsal/Deployment.java
+++ b/src/test/java/org/fieldtrestle/rehearsal/Deployment.java
@@ -1,5 +1,6 @@
 package org.fieldtrestle.rehearsal;
 
+import java.util.List;
 import org.fieldtrestle.protocol.Settings;
 
 /**
@@ -31,6 +32,16 @@
         false);
   }
 
+  /**
+   * A few machines under the figures of the two large deployments and of a small one. In the first
+   * and the last a controller may act for longer without word of the state service than its
+   * workers' lease; in the second for less.
+   */
+  static List<Deployment> smallOfEachKind() {
+    return List.of(
+        small(4000, 22_000, 52_000), small(6000, 34_000, 64_000), small(2500, 16_000, 46_000));
+  }
+
   /** Payroll on a large fleet: short reports, many requests allowed. */
   static Deployment payrollFleet() {
     return large(
--- a/src/test/java/org/fieldtrestle/rehearsal/StateAccessTest.java
+++ b/src/test/java/org/fieldtrestle/rehearsal/StateAccessTest.java
@@ -4,7 +4,6 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.util.ArrayList;
-import java.util.Collections;
 import java.util.List;
 import java.util.SplittableRandom;
 import java.util.function.Function;
@@ -30,23 +29,7 @@
   private final List<String> sent = new ArrayList<>();
   private Function<String, Http.Outcome> service = path -> answer(200, "{\"ledger\":1}");
 
-  private final Settings settings =
-      new Settings(
-          "trestle-0",
-          "a",
-          "0.0.0.0:1",
-          "10.0.0.1:1",
-          Collections.nCopies(2, new Settings.Peer("other", "a", "10.0.0.2:1")),
-          "cloud:1",
-          "state:1",
-          List.of("a"),
-          0,
-          List.of(),
-          List.of(),
-          new Settings.Workers(6, 34, 64),
-          Deployment.timberFleet().state(),
-          Deployment.timberFleet().cloud(),
-          Deployment.timberFleet().limits());
+  private final Settings settings = new SimulatedNetwork().settings("trestle-0");
 
   private final Store store =
       new Store(
