--- a/src/test/java/org/fieldtrestle/rehearsal/SimulatedCluster.java
+++ b/src/test/java/org/fieldtrestle/rehearsal/SimulatedCluster.java
@@ -113,6 +113,41 @@
 
   LateAnswers stateAnswerLateMs = (controller, path, body) -> 0;
 
+  /** What becomes of a message that is about to be sent or taken in. */
+  interface MessageObserver {
+    /** The message goes on without delay. */
+    long PROMPT = 0;
+
+    /**
+     * @param peer whom the controller sends to or has the answer from
+     * @return by how many ms it is held back, or {@link LateAnswers#LOST}
+     */
+    long beforeSending(String controller, String peer, String path, byte[] body);
+
+    long beforeAnswer(String controller, String peer, String path, byte[] body);
+
+    long beforeRequest(String controller, String path);
+  }
+
+  /** Told of every message; by default nothing becomes of any. */
+  MessageObserver messages =
+      new MessageObserver() {
+        @Override
+        public long beforeSending(String controller, String peer, String path, byte[] body) {
+          return PROMPT;
+        }
+
+        @Override
+        public long beforeAnswer(String controller, String peer, String path, byte[] body) {
+          return PROMPT;
+        }
+
+        @Override
+        public long beforeRequest(String controller, String path) {
+          return PROMPT;
+        }
+      };
+
   /** Share of jobs that their users call off at the moment at which their last task is done. */
   double cancelAtEnd;
 
@@ -243,7 +278,14 @@
             time.after(timeoutMs, () -> process.alive, () -> done.accept(none));
             return;
           }
-          send(
+          long heldBack = messages.beforeSending(label, to, path, body);
+          if (heldBack == LateAnswers.LOST) {
+            time.after(
+                timeoutMs, () -> process.alive, () -> done.accept(new Http.Unknown("timeout")));
+            return;
+          }
+          sendAfter(
+              heldBack,
               process,
               () ->
                   net.call(
@@ -258,8 +300,11 @@
                         // Watches that are open wait as they would in an outage.
                         long wait = path.startsWith("/watch") ? isolated(label) : 0;
                         Http.Outcome received = outcome;
-                        if (address.equals(STATE)) {
-                          long late = stateAnswerLateMs.late(label, path, body);
+                        long late = messages.beforeAnswer(label, to, path, body);
+                        if (address.equals(STATE) && late == MessageObserver.PROMPT) {
+                          late = stateAnswerLateMs.late(label, path, body);
+                        }
+                        if (late != MessageObserver.PROMPT) {
                           boolean lost = late == LateAnswers.LOST;
                           received = lost ? new Http.Unknown("timeout") : outcome;
                           wait += lost ? sentAt + timeoutMs - time.now() : late;
@@ -293,23 +338,40 @@
         zone(label),
         (request, reply) -> {
           boolean report = request.path().equals("/hello");
-          if (!lost(label, report ? "workers" : "users")) {
-            turn(
-                process,
-                () ->
-                    process.controller.handle(
-                        request,
-                        answer -> {
-                          if (report && answer.status() == 200) {
-                            answeredWorkerAt.put(label, time.now());
-                          }
-                          send(process, () -> reply.accept(answer));
-                        }));
+          long heldBack = messages.beforeRequest(label, request.path());
+          if (heldBack == LateAnswers.LOST || lost(label, report ? "workers" : "users")) {
+            return;
+          }
+          Runnable handle =
+              () ->
+                  turn(
+                      process,
+                      () ->
+                          process.controller.handle(
+                              request,
+                              answer -> {
+                                if (report && answer.status() == 200) {
+                                  answeredWorkerAt.put(label, time.now());
+                                }
+                                send(process, () -> reply.accept(answer));
+                              }));
+          if (heldBack == MessageObserver.PROMPT) {
+            handle.run();
+          } else {
+            time.after(heldBack, () -> process.alive, handle);
           }
         });
     listening.accept(label);
   }
 
+  private void sendAfter(long heldBackMs, Process process, Runnable message) {
+    if (heldBackMs == MessageObserver.PROMPT) {
+      send(process, message);
+    } else {
+      time.after(heldBackMs, () -> process.alive, () -> send(process, message));
+    }
+  }
+
   private void send(Process process, Runnable message) {
     long wait = process.unsentUntil - time.now();
     if (wait > 0) {
--- /dev/null
+++ b/src/test/java/org/fieldtrestle/rehearsal/search/Finding.java
@@ -0,0 +1,71 @@
+package org.fieldtrestle.rehearsal.search;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.DeserializationFeature;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.SerializationFeature;
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.List;
+
+/**
+ * A run that broke a rule, as it is written to a file and played again from there.
+ *
+ * @param version of this form of file
+ * @param scenario its printed name
+ * @param faultSteps the steps before which the faults were placed, for the reader
+ * @param broken what was broken, for the reader
+ */
+record Finding(
+    int version,
+    String scenario,
+    long seed,
+    List<Placement> placements,
+    List<String> faultSteps,
+    List<String> broken) {
+  static final int VERSION = 1;
+
+  private static final ObjectMapper MAPPER =
+      new ObjectMapper()
+          .enable(SerializationFeature.INDENT_OUTPUT)
+          .enable(DeserializationFeature.FAIL_ON_NULL_CREATOR_PROPERTIES)
+          .enable(DeserializationFeature.FAIL_ON_MISSING_CREATOR_PROPERTIES);
+
+  static Finding of(Scenario scenario, long seed, List<Placement> placements) {
+    Run run = new Run(scenario, seed, placements);
+    Run.Result result = run.play();
+    return new Finding(
+        VERSION,
+        scenario.printedName(),
+        seed,
+        placements,
+        run.faultSteps().stream().map(Object::toString).toList(),
+        result.broken());
+  }
+
+  /** Plays it again. */
+  Run.Result replay() throws BadInput {
+    return new Run(Scenario.named(scenario), seed, placements).play();
+  }
+
+  void write(Path file) throws IOException {
+    Files.write(file, MAPPER.writeValueAsBytes(this));
+  }
+
+  static Finding read(Path file) throws BadInput {
+    Finding finding;
+    try {
+      finding = MAPPER.readValue(Files.readAllBytes(file), Finding.class);
+    } catch (JsonProcessingException e) {
+      throw new BadInput(file + " is no finding: " + e.getOriginalMessage());
+    } catch (IOException e) {
+      throw new BadInput("cannot read " + file);
+    }
+    if (finding.version() != VERSION) {
+      throw new BadInput(file + " is of version " + finding.version() + ", not " + VERSION);
+    }
+    Scenario.named(finding.scenario());
+    return finding;
+  }
+}
--- /dev/null
+++ b/src/test/java/org/fieldtrestle/rehearsal/search/SearchTest.java
@@ -0,0 +1,129 @@
+package org.fieldtrestle.rehearsal.search;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.io.PrintStream;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.List;
+import org.fieldtrestle.rehearsal.SteppedCluster.Step;
+import org.fieldtrestle.rehearsal.SteppedCluster.StepKind;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.EnumSource;
+
+/**
+ * The search itself, and a small part of what it plays. By hand: {@code docs/search.md}.
+ *
+ * <p>The budget is counted in runs and the seed is fixed, so that the verdict is the same each
+ * time.
+ */
+class SearchTest {
+  private static final int SINGLES = 120;
+  private static final int PAIRS = 30;
+  private static final int THREADS = 2;
+  private static final long SEED = 1;
+
+  /** Two of each controller. */
+  private static final int LEAST_WATCHES = 6;
+
+  private final ByteArrayOutputStream printed = new ByteArrayOutputStream();
+  private final ByteArrayOutputStream errors = new ByteArrayOutputStream();
+
+  private int search(String... arguments) {
+    return SearchMain.run(new PrintStream(printed), new PrintStream(errors), arguments);
+  }
+
+  private static Search.Report search(Scenario scenario, List<Fault> faults, int singles, int pairs)
+      throws InterruptedException {
+    Search.Plan plan = new Search.Plan(scenario, faults, singles, pairs, SEED, THREADS);
+    return new Search(plan, played -> {}).search();
+  }
+
+  @ParameterizedTest
+  @EnumSource(Scenario.class)
+  void noRuleIsBrokenWithinTheBudget(Scenario scenario) throws InterruptedException {
+    Search.Report report = search(scenario, List.of(Fault.values()), SINGLES, PAIRS);
+    assertEquals(SINGLES + PAIRS + 1, report.runs());
+    assertEquals(List.of(), report.findings());
+  }
+
+  /** The incident "a cancelled task was started again", as the search found it before the fix. */
+  @Test
+  void anOutageBeforeTheWatchAfterACancellationStartsNothing() {
+    int[] runs = {0};
+    for (Step step : steps(Scenario.CANCEL)) {
+      if (step.kind() == StepKind.STATE_REQUEST && step.detail().equals("/watch")) {
+        Placement outage = new Placement(step.number(), Fault.STATE_OUTAGE, 67_000);
+        Run.Result result = new Run(Scenario.CANCEL, SEED, List.of(outage)).play();
+        assertEquals(List.of(), result.broken(), step.toString());
+        runs[0]++;
+      }
+    }
+    assertTrue(runs[0] >= LEAST_WATCHES, "watches within the time of the faults: " + runs[0]);
+  }
+
+  private static List<Step> steps(Scenario scenario) {
+    return new Run(scenario, SEED, List.of()).play().steps();
+  }
+
+  @Test
+  void theSameRunHasTheSameSteps() {
+    assertEquals(steps(Scenario.CANCEL), steps(Scenario.CANCEL));
+    Placement fault = new Placement(steps(Scenario.CANCEL).get(5).number(), Fault.STATE_SLOW, 9000);
+    Run.Result one = new Run(Scenario.CANCEL, SEED, List.of(fault)).play();
+    Run.Result other = new Run(Scenario.CANCEL, SEED, List.of(fault)).play();
+    assertEquals(one, other);
+  }
+
+  @Test
+  void theReportDoesNotDependOnTheNumberOfThreads() throws InterruptedException {
+    Search.Plan plan =
+        new Search.Plan(Scenario.END, List.of(Fault.values()), 20, 5, SEED, THREADS + 1);
+    assertEquals(
+        search(Scenario.END, List.of(Fault.values()), 20, 5),
+        new Search(plan, played -> {}).search());
+  }
+
+  @Test
+  void aFindingIsReadAsItWasWrittenAndPlayedAgain(@TempDir Path directory) throws Exception {
+    Placement fault = new Placement(steps(Scenario.END).get(0).number(), Fault.MESSAGE_LOST, 0);
+    Finding finding = Finding.of(Scenario.END, SEED, List.of(fault));
+    Path file = directory.resolve("finding.json");
+    finding.write(file);
+    assertEquals(finding, Finding.read(file));
+    assertFalse(Finding.read(file).replay().failed());
+    assertEquals(SearchMain.NOTHING_FOUND, search("--replay", file.toString()));
+    assertTrue(printed.toString(StandardCharsets.UTF_8).contains("no rule broken"));
+  }
+
+  private void assertRefused(String named, String... arguments) {
+    errors.reset();
+    assertEquals(SearchMain.BAD_INPUT, search(arguments));
+    String line = errors.toString(StandardCharsets.UTF_8);
+    assertTrue(line.contains(named), line);
+    assertEquals(1, line.lines().count(), line);
+  }
+
+  @Test
+  void whatCannotBeSearchedIsNamedInOneLine(@TempDir Path directory) throws IOException {
+    assertRefused("unknown scenario 'x'", "--scenario", "x");
+    assertRefused("unknown fault 'y'", "--fault", "y");
+    assertRefused("budget of nothing", "--singles", "0");
+    assertRefused("--nonsense", "--nonsense");
+    assertRefused("cannot read", "--replay", directory.resolve("none").toString());
+    Path file = directory.resolve("finding.json");
+    Finding.of(Scenario.END, SEED, List.of()).write(file);
+    String whole = Files.readString(file);
+    Files.writeString(file, whole.substring(0, whole.length() / 2));
+    assertRefused("is no finding", "--replay", file.toString());
+    Files.writeString(file, whole.replace("\"version\" : 1", "\"version\" : 2"));
+    assertRefused("is of version 2", "--replay", file.toString());
+  }
+}
