--- a/src/main/java/org/fieldtrestle/coordination/Host.java
+++ b/src/main/java/org/fieldtrestle/coordination/Host.java
@@ -152,6 +152,12 @@
     return !directBusy && seenToken >= fence;
   }
 
+  /** From here on nothing sent before can be executed once the machine has seen the new token. */
+  void raiseToken() {
+    token++;
+    fence = token;
+  }
+
   // ---- what is on it; sums are kept up, as they are asked for at every turn
 
   PlacedTask placed(TaskId task) {
--- a/src/main/java/org/fieldtrestle/coordination/Machines.java
+++ b/src/main/java/org/fieldtrestle/coordination/Machines.java
@@ -2,7 +2,6 @@
 
 import java.util.ArrayList;
 import java.util.HashMap;
-import java.util.Iterator;
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
@@ -11,11 +10,9 @@
 import org.fieldtrestle.bookkeeping.Records;
 import org.fieldtrestle.protocol.CloudWire.MachineType;
 import org.fieldtrestle.protocol.JobSpec;
-import org.fieldtrestle.protocol.Json;
 import org.fieldtrestle.protocol.Settings;
 import org.fieldtrestle.protocol.TaskId;
 import org.fieldtrestle.protocol.WorkerWire;
-import org.fieldtrestle.transport.Http;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
@@ -26,12 +23,11 @@
 final class Machines {
   private static final Logger LOG = LoggerFactory.getLogger(Machines.class);
 
-  private static final int MOST_ORDERS = 200;
-
   private final Master master;
   private final Node node;
   private final Ranges ranges;
   private final CommandPolicy policy;
+  private final WorkerCommands commands;
   private final Map<String, Host> hosts = new TreeMap<>();
   private final Usage usage = new Usage();
   private final ImageDownloads downloads;
@@ -39,9 +35,6 @@
   /** Those of which we do not know yet what an earlier epoch has left on them. */
   private final Set<Host> unresolved = new LinkedHashSet<>();
 
-  /** Those that may have something to be told. */
-  private final Set<Host> news = new LinkedHashSet<>();
-
   /**
    * Tasks that a machine has reported though they are placed on another one, and that machine. A
    * former holder of this master that does not know of its end may have started them there. Until
@@ -63,6 +56,7 @@
     this.node = master.node;
     this.ranges = ranges;
     this.policy = master.policy();
+    this.commands = new WorkerCommands(master, this, ranges);
     this.downloads = new ImageDownloads(node.settings().workers().reportS());
   }
 
@@ -78,6 +72,10 @@
     return hosts.get(id);
   }
 
+  WorkerCommands commands() {
+    return commands;
+  }
+
   Usage usage() {
     return usage;
   }
@@ -143,7 +141,7 @@
         loseTasks(host, "its record is gone");
         hosts.remove(id);
         unresolved.remove(host);
-        news.remove(host);
+        commands.forget(host);
       }
       return;
     }
@@ -285,7 +283,7 @@
     if (!resolvedNow(host)) {
       return List.of();
     }
-    List<WorkerWire.Command> orders = ordersFor(host);
+    List<WorkerWire.Command> orders = commands.ordersFor(host);
     for (WorkerWire.Command order : orders) {
       PlacedTask task = host.placed(order.task());
       if (task != null && order instanceof WorkerWire.Start) {
@@ -295,25 +293,8 @@
     return orders;
   }
 
-  /** What a machine is to do now, by what is known at this moment. */
-  private List<WorkerWire.Command> ordersFor(Host host) {
-    if (host.placed().stream().anyMatch(this::mustStop)) {
-      host.copyOfPlaced().stream().filter(this::mustStop).forEach(task -> stop(task, 0));
-    }
-    return host.orders(task -> mayStart(host) && mayStart(task), MOST_ORDERS);
-  }
-
-  private boolean mustStop(PlacedTask task) {
-    boolean stopsAtOnce = task.stop && task.graceS <= 0;
-    return task.live() && !stopsAtOnce && task.range != null && policy.mustStop(task.range);
-  }
-
-  private boolean mayStart(PlacedTask task) {
-    return task.range != null && policy.mayStart(task.range);
-  }
-
   /** Takes in a report, or the report in the answer to a direct command. */
-  private boolean learn(Host host, WorkerWire.Report report) {
+  boolean learn(Host host, WorkerWire.Report report) {
     long now = node.now();
     if (!report.newerThan(host.session, host.seq)) {
       return false;
@@ -386,7 +367,7 @@
     } else if (lacks && ++host.unheard >= 2) {
       LOG.warn("machine {} does not hear us: what it was to start does not appear", host.id);
       host.deafSince = now;
-      raiseToken(host);
+      host.raiseToken();
     }
   }
 
@@ -490,7 +471,7 @@
     host.put(task);
     range.place(offset, task);
     if (policy.mustStop(range)) {
-      stop(task, 0);
+      commands.stop(task, 0);
     }
     return task;
   }
@@ -570,7 +551,7 @@
         double remaining = task.remainingS(node.now(), spec.estimateS());
         if (task.runningSince < 0 || remaining > 1.5 * noticeS) {
           boolean saves = spec.savesWork() && spec.saveS() < noticeS;
-          stop(task, saves ? Math.max(spec.saveS(), noticeS * 0.8) : 0);
+          commands.stop(task, saves ? Math.max(spec.saveS(), noticeS * 0.8) : 0);
         }
       }
     }
@@ -591,115 +572,4 @@
       }
     }
   }
-
-  // ---- what they are told
-
-  /** There may be something to tell. */
-  void newsFor(Host host) {
-    news.add(host);
-  }
-
-  void stop(PlacedTask task, double graceS) {
-    if (!task.live() || task.stop && task.graceS <= graceS) {
-      return;
-    }
-    task.stop = true;
-    task.stopSent = false;
-    task.graceS = graceS;
-    if (task.state() == PlacedTask.State.STARTING && !task.startSent) {
-      ranges.gone(task);
-    } else {
-      news.add(task.host);
-    }
-  }
-
-  /** Tells machines at once what would else wait for their next report. */
-  void sendDirect() {
-    if (!master.running()) {
-      return;
-    }
-    for (Iterator<Host> all = news.iterator(); all.hasNext(); ) {
-      Host host = all.next();
-      if (!host.hasNews()) {
-        all.remove();
-      } else if (host.quiet()
-          && !host.returning
-          && !host.lost
-          && host.session >= 0
-          && resolvedNow(host)) {
-        direct(host);
-      }
-    }
-  }
-
-  /** Why a task that is to be stopped is still there, as the reader of a log would ask. */
-  String stopPendingBecause(PlacedTask task) {
-    Host host = task.host;
-    if (!policy.mayAcknowledge()) {
-      return "this controller may not act";
-    }
-    if (host.lost || host.returning) {
-      return "its machine is lost or being returned";
-    }
-    if (!resolvedNow(host)) {
-      return "its machine has not shown this epoch's token";
-    }
-    if (!task.stopSent) {
-      return host.quiet() ? "the stop is to be sent" : "the fate of an earlier command is unknown";
-    }
-    return "the machine has not reported its end, last heard "
-        + (node.now() - host.heardAt)
-        + " ms ago";
-  }
-
-  private void direct(Host host) {
-    // The clears are left for the next report's answer, which is never executed late.
-    List<WorkerWire.Command> orders = new ArrayList<>(ordersFor(host));
-    orders.removeIf(order -> order instanceof WorkerWire.Clear);
-    if (orders.isEmpty()) {
-      return;
-    }
-    host.directBusy = true;
-    long sentSession = host.session;
-    node.caller()
-        .call(
-            host.address,
-            "POST",
-            WorkerWire.COMMANDS,
-            WorkerWire.commands(host.token, sentSession, orders),
-            node.reportMs(0.8),
-            outcome -> answered(host, outcome));
-  }
-
-  private void answered(Host host, Http.Outcome outcome) {
-    host.directBusy = false;
-    if (outcome instanceof Http.NotSent) {
-      return;
-    }
-    if (outcome instanceof Http.Answer answer
-        && (answer.status() == 200 || answer.status() == 409)) {
-      try {
-        WorkerWire.Report report = WorkerWire.readReport(answer.body());
-        if (!master.isOver() && hosts.get(host.id) == host && report.machine().equals(host.id)) {
-          learn(host, report);
-        }
-        return;
-      } catch (Json.Malformed e) {
-        LOG.warn("machine {} answered a command out of form: {}", host.id, e.getMessage());
-      }
-    }
-    // Its fate is unknown: it may be executed minutes later, as long as token and session match.
-    // A higher token ends that as soon as the machine has seen it.
-    raiseToken(host);
-    for (PlacedTask task : host.placed()) {
-      if (task.state() == PlacedTask.State.STARTING && task.startSent) {
-        task.answeredSeq = host.seq; // its next report shows whether it came
-      }
-    }
-  }
-
-  private static void raiseToken(Host host) {
-    host.token++;
-    host.fence = host.token;
-  }
 }
--- a/src/main/java/org/fieldtrestle/coordination/Master.java
+++ b/src/main/java/org/fieldtrestle/coordination/Master.java
@@ -193,7 +193,7 @@
   }
 
   void sendDirect() {
-    machines.sendDirect();
+    machines.commands().sendDirect();
   }
 
   void arrived(OwnedRange range) {
@@ -203,7 +203,7 @@
 
   @Override
   public void stop(PlacedTask task, double graceS) {
-    machines.stop(task, graceS);
+    machines.commands().stop(task, graceS);
   }
 
   @Override
@@ -225,7 +225,7 @@
     host.put(task);
     range.place(offset, task);
     host.idleSince = now;
-    machines.newsFor(host);
+    machines.commands().newsFor(host);
     boolean fetches = !host.hasImage(range.spec.image());
     if (fetches) {
       node.stats().fetches++;
--- a/src/main/java/org/fieldtrestle/coordination/Ranges.java
+++ b/src/main/java/org/fieldtrestle/coordination/Ranges.java
@@ -210,7 +210,7 @@
           .addKeyValue("tasks", range.placed.size())
           .addKeyValue("sinceMs", now - range.stoppingSince)
           .addKeyValue("example", task)
-          .addKeyValue("because", master.machines().stopPendingBecause(task))
+          .addKeyValue("because", master.machines().commands().stopPendingBecause(task))
           .log("cancelled tasks are not stopped yet");
     }
   }
--- a/src/test/java/org/fieldtrestle/rehearsal/SimulatedCluster.java
+++ b/src/test/java/org/fieldtrestle/rehearsal/SimulatedCluster.java
@@ -113,7 +113,7 @@
 
   LateAnswers stateAnswerLateMs = (controller, path, body) -> 0;
 
-  /** What becomes of a message that is about to be sent or taken in. */
+  /** What becomes of a message that is about to be sent or taken in; nothing by default. */
   interface MessageObserver {
     /** The message goes on without delay. */
     long PROMPT = 0;
@@ -122,31 +122,21 @@
      * @param peer whom the controller sends to or has the answer from
      * @return by how many ms it is held back, or {@link LateAnswers#LOST}
      */
-    long beforeSending(String controller, String peer, String path, byte[] body);
+    default long beforeSending(String controller, String peer, String path, byte[] body) {
+      return PROMPT;
+    }
 
-    long beforeAnswer(String controller, String peer, String path, byte[] body);
+    default long beforeAnswer(String controller, String peer, String path, byte[] body) {
+      return PROMPT;
+    }
 
-    long beforeRequest(String controller, String path);
+    default long beforeRequest(String controller, String path) {
+      return PROMPT;
+    }
   }
 
-  /** Told of every message; by default nothing becomes of any. */
-  MessageObserver messages =
-      new MessageObserver() {
-        @Override
-        public long beforeSending(String controller, String peer, String path, byte[] body) {
-          return PROMPT;
-        }
-
-        @Override
-        public long beforeAnswer(String controller, String peer, String path, byte[] body) {
-          return PROMPT;
-        }
-
-        @Override
-        public long beforeRequest(String controller, String path) {
-          return PROMPT;
-        }
-      };
+  /** Told of every message. */
+  MessageObserver messages = new MessageObserver() {};
 
   /** Share of jobs that their users call off at the moment at which their last task is done. */
   double cancelAtEnd;
