--- a/src/main/java/org/fieldtrestle/coordination/CommandPolicy.java
+++ b/src/main/java/org/fieldtrestle/coordination/CommandPolicy.java
@@ -33,11 +33,16 @@
 
   private final Node node;
   private final String master;
+
+  /** The state key of the master: every report and placement pass asks for its version. */
+  private final String masterKey;
+
   private final long epoch;
 
   CommandPolicy(Node node, String master, long epoch) {
     this.node = node;
     this.master = master;
+    this.masterKey = Records.master(master);
     this.epoch = epoch;
   }
 
@@ -47,7 +52,7 @@
   }
 
   private boolean superseded() {
-    return node.view().version(Records.master(master)) > epoch;
+    return node.view().version(masterKey) > epoch;
   }
 
   /** Whether any task of the range may be started now. A refusal is counted by its reason. */
--- a/src/test/java/org/fieldtrestle/rehearsal/SteppedCluster.java
+++ b/src/test/java/org/fieldtrestle/rehearsal/SteppedCluster.java
@@ -318,9 +318,4 @@
         .sorted()
         .toList();
   }
-
-  /** How many tasks of a job run. */
-  public int running(String job) {
-    return cluster.rules.on(job);
-  }
 }
--- a/src/test/java/org/fieldtrestle/rehearsal/search/Search.java
+++ b/src/test/java/org/fieldtrestle/rehearsal/search/Search.java
@@ -46,12 +46,16 @@
   private final IntConsumer progress;
   private final AtomicInteger played = new AtomicInteger();
 
+  /** Below and above a worker's lease, and above the time that a cancellation has, in ms. */
+  private final List<Long> lengths;
+
   /**
    * @param progress told how many runs have been played, now and then
    */
   Search(Plan plan, IntConsumer progress) {
     this.plan = plan;
     this.progress = progress;
+    this.lengths = lengths(plan.seed());
   }
 
   Report search() throws InterruptedException {
@@ -82,7 +86,7 @@
         if (!fault.suits(step)) {
           continue;
         }
-        for (long length : fault.lasting() ? lengths() : List.of(0L)) {
+        for (long length : fault.lasting() ? lengths : List.of(0L)) {
           Placement placement = new Placement(step.number(), fault, length);
           rounds.put(placement, round);
           all.add(placement);
@@ -94,9 +98,8 @@
     return all;
   }
 
-  /** Below and above a worker's lease, and above the time that a cancellation has, in ms. */
-  private List<Long> lengths() {
-    SteppedCluster figures = new SteppedCluster(plan.seed(), 1, step -> SteppedCluster.Effect.NONE);
+  private static List<Long> lengths(long seed) {
+    SteppedCluster figures = new SteppedCluster(seed, 1, step -> SteppedCluster.Effect.NONE);
     return List.of(
         figures.workerLeaseMs() - BEYOND_MS,
         figures.workerLeaseMs() + BEYOND_MS,
@@ -163,7 +166,7 @@
     List<Placement> shortest = new ArrayList<>(failing);
     for (int i = 0; i < shortest.size(); i++) {
       Placement one = shortest.get(i);
-      for (long length : one.fault().lasting() ? lengths() : List.<Long>of()) {
+      for (long length : one.fault().lasting() ? lengths : List.<Long>of()) {
         List<Placement> shorter = new ArrayList<>(shortest);
         shorter.set(i, new Placement(one.step(), one.fault(), length));
         if (length < one.lengthMs() && fails(shorter)) {
