--- a/review/stand-ins/Deployment.java
+++ b/review/stand-ins/Deployment.java
@@ -21,7 +21,10 @@
         List.of("catania", "palermo"), 2.5, 16, 46, 8, 32, "nodo-sedici", 16, 128, 0.1);
   }
 
-  /** The settings of one controller, as "fleetbench wire" prints them for the site. */
+  /**
+   * The settings of one controller, as "fleetbench wire" prints them for the site, and the guest
+   * team that comes on some days. The guest has no guarantee and may run one task of 4 CPUs.
+   */
   String settings(String label, String front, String internal, String others, String endpoints) {
     return ("label = \"%s\"\nsite = \"palermo\"\nfront = \"%s\"\ninternal_addr = \"%s\"\n%s\n"
                 + "[endpoints]\n%s\n")
@@ -43,6 +46,12 @@
         cpus_max = 500.0
         gpus = 0.0
         gpus_max = 0.0
+        [[cluster.teams]]
+        name = "consorzio-agrumi"
+        cpus = 0.0
+        cpus_max = 4.0
+        gpus = 0.0
+        gpus_max = 0.0
         [[cluster.objectives]]
         kind = "deadline"
         class = "cedolini-mensili"
