Clear directly started attempts only once their start is fenced

Cause: a clear was held back only while the outcome of a direct command was unknown. After a clear the worker takes a copy of the start for new, as long as it has seen no higher fencing token.

Change: FencingState remembers the token of each direct start until the worker has shown a higher one, allows a clear only then, and asks for a higher token when a clear waits; the answer to a heartbeat carries it. The condition covers tasks that the shard does not expect, too.

--- a/src/main/java/org/fieldtrestle/controller/StatsPage.java
+++ b/src/main/java/org/fieldtrestle/controller/StatsPage.java
@@ -74,6 +74,7 @@
     parent.put("rented", metrics.rented());
     parent.put("returned", metrics.returned());
     parent.put("refusedSubmissions", metrics.refusedSubmissions());
+    parent.put("tokensRaisedBeforeClear", metrics.tokensRaisedBeforeClear());
   }
 
   private static void putCancellations(ObjectNode parent, CancellationNotices cancellations) {
--- a/src/main/java/org/fieldtrestle/metrics/ControllerMetrics.java
+++ b/src/main/java/org/fieldtrestle/metrics/ControllerMetrics.java
@@ -39,6 +39,7 @@
   private long rented;
   private long returned;
   private long refusedSubmissions;
+  private long tokensRaisedBeforeClear;
 
   /** Creates metrics that include those of the event loop. */
   public ControllerMetrics(EventLoopMeter eventLoopMeter) {
@@ -92,6 +93,11 @@
     refusedSubmissions++;
   }
 
+  /** Called when a worker is sent a higher fencing token so that an attempt can be cleared. */
+  public void countTokenRaisedBeforeClear() {
+    tokensRaisedBeforeClear++;
+  }
+
   /** Called when starting a task was refused. */
   public void countStartRefused(StartRefusal reason) {
     startsRefused.merge(reason, 1L, Long::sum);
@@ -132,6 +138,11 @@
     return refusedSubmissions;
   }
 
+  /** Returns how often a worker was sent a higher token so that an attempt can be cleared. */
+  public long tokensRaisedBeforeClear() {
+    return tokensRaisedBeforeClear;
+  }
+
   /** Returns how often starting a task was refused for this reason. */
   public long startsRefused(StartRefusal reason) {
     return startsRefused.getOrDefault(reason, 0L);
--- a/src/main/java/org/fieldtrestle/worker/CommandAssembler.java
+++ b/src/main/java/org/fieldtrestle/worker/CommandAssembler.java
@@ -34,7 +34,7 @@
     for (TaskStatus unknown : worker.unknownTasks()) {
       if (unknown.state() != TaskState.EXITED) {
         commands.add(new WorkerCommand.Stop(unknown.task(), unknown.attempt(), 0));
-      } else if (worker.hasNoCommandInFlight()) {
+      } else if (worker.fencing().mayClear(unknown.task(), unknown.attempt())) {
         commands.add(new WorkerCommand.Clear(unknown.task(), unknown.attempt()));
       }
     }
@@ -43,10 +43,10 @@
   private static void addStopsAndClears(Worker worker, List<WorkerCommand> commands) {
     for (TaskAttempt attempt : worker.attempts()) {
       if (!attempt.isLive()) {
-        // After a clear the worker no longer knows the attempt, and a late copy of its start
-        // command would run it again. Clears are therefore sent only if no such copy can be in
-        // flight.
-        if (attempt.isClearable() && worker.hasNoCommandInFlight()) {
+        // After a clear the worker no longer knows the attempt, and a copy of its start command
+        // would run it again.
+        if (attempt.isClearable()
+            && worker.fencing().mayClear(attempt.task(), attempt.attemptNumber())) {
           commands.add(new WorkerCommand.Clear(attempt.task(), attempt.attemptNumber()));
         }
       } else if (attempt.isStopping()) {
--- a/src/main/java/org/fieldtrestle/worker/DirectCommands.java
+++ b/src/main/java/org/fieldtrestle/worker/DirectCommands.java
@@ -81,20 +81,38 @@
       return;
     }
     worker.fencing().beginDirectCommand();
+    long token = worker.fencingToken();
+    long incarnation = worker.incarnation();
     context
         .caller()
         .call(
             worker.connection().address(),
             "POST",
             WorkerProtocol.COMMANDS_PATH,
-            WorkerProtocol.writeCommands(worker.fencingToken(), worker.incarnation(), toSend),
+            WorkerProtocol.writeCommands(token, incarnation, toSend),
             context.heartbeatIntervalsMs(TIMEOUT_INTERVALS),
-            outcome -> handleOutcome(worker, outcome));
+            outcome -> {
+              worker.fencing().endDirectCommand();
+              if (!(outcome instanceof Http.NotSent)) {
+                if (worker.incarnation() == incarnation) {
+                  recordStarts(worker, toSend, token);
+                }
+                handleOutcome(worker, outcome);
+              }
+            });
+  }
+
+  /** Records the start commands, which the worker may execute again whatever it has answered. */
+  private static void recordStarts(Worker worker, List<WorkerCommand> sent, long token) {
+    for (WorkerCommand command : sent) {
+      if (command instanceof WorkerCommand.Start) {
+        worker.fencing().recordDirectStart(command.task(), command.attempt(), token);
+      }
+    }
   }
 
   private void handleOutcome(Worker worker, Http.Outcome outcome) {
-    worker.fencing().endDirectCommand();
-    if (outcome instanceof Http.NotSent || processAnswer(worker, outcome)) {
+    if (processAnswer(worker, outcome)) {
       return;
     }
     // The outcome is unknown: the command may be executed minutes later as long as its fencing
--- a/src/main/java/org/fieldtrestle/worker/FencingState.java
+++ b/src/main/java/org/fieldtrestle/worker/FencingState.java
@@ -1,5 +1,7 @@
 package org.fieldtrestle.worker;
 
+import org.fieldtrestle.protocol.TaskId;
+
 /**
  * The fencing token of a worker, and whether a command that was sent to the worker may still be
  * executed late. A worker ignores commands with a lower token than the highest that it has seen.
@@ -14,7 +16,13 @@
    */
   private long requiredToken;
 
+  /**
+   * The token that the next answer to a heartbeat carries, if it is higher than the present one.
+   */
+  private long requestedToken;
+
   private boolean directCommandInFlight;
+  private final OutstandingStarts starts = new OutstandingStarts();
 
   FencingState(long firstToken) {
     token = firstToken;
@@ -32,6 +40,7 @@
 
   void markSeen(long reportedToken) {
     seenToken = Math.max(seenToken, reportedToken);
+    starts.tokenSeen(seenToken);
   }
 
   /** Sets the token to a higher one that the worker has seen; commands carry it from now on. */
@@ -60,6 +69,45 @@
     directCommandInFlight = false;
   }
 
+  /** Records that a direct command with this token may have started an attempt. */
+  void recordDirectStart(TaskId task, long attemptNumber, long commandToken) {
+    if (commandToken >= seenToken) {
+      starts.sentDirectly(task, attemptNumber, commandToken);
+    }
+  }
+
+  /** Called when the worker has begun an incarnation, in which no earlier command counts. */
+  void beginIncarnation() {
+    starts.clear();
+  }
+
+  /**
+   * Whether the worker can be told to clear the attempt: no copy of a command can start the attempt
+   * again after that. If a copy of a direct command can, a higher token is requested, so that the
+   * clear may follow once the worker has seen that token.
+   */
+  boolean mayClear(TaskId task, long attemptNumber) {
+    if (!hasNoCommandInFlight()) {
+      return false;
+    }
+    long neededToken = starts.tokenToFence(task, attemptNumber);
+    requestedToken = Math.max(requestedToken, neededToken);
+    return seenToken >= neededToken;
+  }
+
+  /**
+   * Raises the token if that was requested; returns whether it was raised. Called only for answers
+   * to heartbeats: the worker waits for one at a time, so that none with the former token can
+   * arrive after one with the new token and be dropped.
+   */
+  boolean raiseIfRequested() {
+    if (directCommandInFlight || requestedToken <= token) {
+      return false;
+    }
+    token = requestedToken;
+    return true;
+  }
+
   /** Whether no command that was sent can still be executed late. */
   boolean hasNoCommandInFlight() {
     return !directCommandInFlight && isRequiredTokenSeen();
--- a/src/main/java/org/fieldtrestle/worker/HeartbeatProcessor.java
+++ b/src/main/java/org/fieldtrestle/worker/HeartbeatProcessor.java
@@ -92,7 +92,10 @@
     return changed ? Result.CHANGED : Result.UNCHANGED;
   }
 
-  /** Returns the commands for the answer to a heartbeat. The answer renews the worker's lease. */
+  /**
+   * Returns the commands for the answer to a heartbeat, which has to carry the worker's fencing
+   * token as it is after this call. The answer renews the worker's lease.
+   */
   public List<WorkerCommand> assembleAnswer(Worker worker) {
     worker.connection().renewLease(context.nowMs());
     if (!workers.mayReceiveCommands(worker)) {
@@ -105,6 +108,9 @@
         attempt.expectReportAfter(worker.connection().order().sequence());
       }
     }
+    if (worker.fencing().raiseIfRequested()) {
+      context.metrics().countTokenRaisedBeforeClear();
+    }
     return assembled;
   }
 
@@ -153,6 +159,7 @@
     HeartbeatOrder order = worker.connection().order();
     boolean hadIncarnation = order.hasIncarnation();
     order.beginIncarnation(incarnation);
+    worker.fencing().beginIncarnation();
     if (hadIncarnation) {
       LOG.atInfo()
           .addKeyValue("worker", worker.id())
--- a/src/test/java/org/fieldtrestle/simulation/FaultyNetwork.java
+++ b/src/test/java/org/fieldtrestle/simulation/FaultyNetwork.java
@@ -10,6 +10,9 @@
 
 /** A network that delays, loses, repeats and holds back messages, as the protocol describes. */
 final class FaultyNetwork {
+  /** The shortest time between two deliveries of a direct command. */
+  private static final long MIN_REPETITION_MS = 100;
+
   private final SimulatedTime time;
   private final Map<String, Http.Handler> servers = new HashMap<>();
   private final Map<String, String> zones = new HashMap<>();
@@ -20,6 +23,9 @@
   private double lateCommandShare;
   private double lostAnswerShare;
   private double repeatedHeartbeatShare;
+  private double repeatedCommandShare;
+  private long maxRepetitionDelayMs;
+  private int repeatedCommands;
   private int copiesPerHeartbeat = 1;
   private List<String> copyTargets = List.of();
   private int maxAnswerBytes = Integer.MAX_VALUE;
@@ -69,6 +75,21 @@
     lateCommandShare = share;
   }
 
+  /**
+   * Delivers this share of direct commands a second time, after they were carried out.
+   *
+   * @param maxDelayMs the longest time between the two deliveries
+   */
+  void repeatCommands(double share, long maxDelayMs) {
+    repeatedCommandShare = share;
+    maxRepetitionDelayMs = maxDelayMs;
+  }
+
+  /** Returns how many direct commands were delivered a second time. */
+  int repeatedCommands() {
+    return repeatedCommands;
+  }
+
   /** Loses this share of answers. */
   void loseAnswers(double share) {
     lostAnswerShare = share;
@@ -184,13 +205,20 @@
   }
 
   private void send(Call call, long timeoutMs) {
+    boolean isCommand = call.path().equals("/commands");
     if (time.chance(lateRequestShare)
-        || (lateCommandShare > 0
-            && call.path().equals("/commands")
-            && time.chance(lateCommandShare))) {
+        || (lateCommandShare > 0 && isCommand && time.chance(lateCommandShare))) {
       deliverLate(call, call.address(), time.between(timeoutMs, timeoutMs * 10));
       return;
     }
+    if (repeatedCommandShare > 0 && isCommand && time.chance(repeatedCommandShare)) {
+      time.after(
+          time.between(MIN_REPETITION_MS, maxRepetitionDelayMs),
+          () -> {
+            repeatedCommands += serves(call.address()) ? 1 : 0;
+            deliver(call, call.address(), response -> {});
+          });
+    }
     boolean answerLost = time.chance(lostAnswerShare);
     time.after(
         time.between(1, 6) + extraDelayMs(call.address()),
--- a/src/test/java/org/fieldtrestle/simulation/LateMessagesTest.java
+++ b/src/test/java/org/fieldtrestle/simulation/LateMessagesTest.java
@@ -62,6 +62,34 @@
     assertTrue(lateCommands[0] > 0, "commands arrived late");
   }
 
+  /**
+   * Guards against a fault in which a direct command that had been carried out and answered was
+   * delivered again, after its task was stopped and cleared, and started the task a second time.
+   */
+  @Test
+  void jobsEndWhenCommandsAreRepeatedAfterTheirTasksWereCleared() {
+    forEachDeployment(
+        6,
+        cluster -> {
+          submit(cluster, 1, 24, 5000);
+          cluster.runFor(40_000); // the fleet is up and idle, so that starts are sent directly
+          cluster.network.repeatCommands(1, 2 * cluster.cancellationTimeMs);
+          List<SimulatedJob> cancelled = new ArrayList<>();
+          for (int i = 0; i < 4; i++) {
+            submit(cluster, 3, 4, 30_000);
+            cancelled.addAll(submit(cluster, 1, 2, 60_000));
+            cluster.runFor(6000);
+            submit(cluster, 4, 6, 2500); // these preempt some of the tasks that have just started
+            cluster.runFor(3000);
+            cluster.users.cancel(cancelled.get(i));
+            cluster.runFor(40_000);
+          }
+          cluster.runFor(2 * cluster.cancellationTimeMs); // the last copies arrive
+          cluster.network.repeatCommands(0, 0);
+          assertTrue(cluster.network.repeatedCommands() > 0, "commands arrived again");
+        });
+  }
+
   @Test
   void jobsEndWhenUnansweredTransactionsAreExecutedLate() {
     int[] lateCommits = {0};
