Take absence for an end only once no start is on its way

Cause: a message without an attempt that is to be stopped proved its end as soon as no direct command was of unknown outcome. The answers to direct commands are newer messages although the worker still waits for the answer to its heartbeat.

Change: FencingState.absenceProvesEnd also asks for a heartbeat that was sent after the last answer with the attempt's start. A worker has one heartbeat in flight, so that answer has arrived or was given up by then; no clock is needed. Until then the attempt counts as placed, for quota and reassignment too.

The simulated check of starts after a cancellation counts an answer from when it was given: with held answers, counting from its arrival blamed controllers for starts sent before the confirmation. Answers that are not held count as before.

--- a/src/main/java/org/fieldtrestle/controller/StatsPage.java
+++ b/src/main/java/org/fieldtrestle/controller/StatsPage.java
@@ -75,6 +75,7 @@
     parent.put("returned", metrics.returned());
     parent.put("refusedSubmissions", metrics.refusedSubmissions());
     parent.put("tokensRaisedBeforeClear", metrics.tokensRaisedBeforeClear());
+    parent.put("absentButMayStart", metrics.absentButMayStart());
   }
 
   private static void putCancellations(ObjectNode parent, CancellationNotices cancellations) {
--- a/src/main/java/org/fieldtrestle/metrics/ControllerMetrics.java
+++ b/src/main/java/org/fieldtrestle/metrics/ControllerMetrics.java
@@ -40,6 +40,7 @@
   private long returned;
   private long refusedSubmissions;
   private long tokensRaisedBeforeClear;
+  private long absentButMayStart;
 
   /** Creates metrics that include those of the event loop. */
   public ControllerMetrics(EventLoopMeter eventLoopMeter) {
@@ -98,6 +99,11 @@
     tokensRaisedBeforeClear++;
   }
 
+  /** Called when a message lacks an attempt that a command on its way may still start. */
+  public void countAbsentButMayStart() {
+    absentButMayStart++;
+  }
+
   /** Called when starting a task was refused. */
   public void countStartRefused(StartRefusal reason) {
     startsRefused.merge(reason, 1L, Long::sum);
@@ -143,6 +149,11 @@
     return tokensRaisedBeforeClear;
   }
 
+  /** Returns how often a message lacked an attempt that a command on its way might still start. */
+  public long absentButMayStart() {
+    return absentButMayStart;
+  }
+
   /** Returns how often starting a task was refused for this reason. */
   public long startsRefused(StartRefusal reason) {
     return startsRefused.getOrDefault(reason, 0L);
--- a/src/main/java/org/fieldtrestle/worker/FencingState.java
+++ b/src/main/java/org/fieldtrestle/worker/FencingState.java
@@ -76,11 +76,29 @@
     }
   }
 
+  /** Records that the answer to the heartbeat with this sequence starts an attempt. */
+  void recordStartInAnswer(TaskId task, long attemptNumber, long heartbeatSequence) {
+    starts.sentInAnswer(task, attemptNumber, heartbeatSequence);
+  }
+
+  /** Called when a heartbeat was received, before its tasks are looked at. */
+  void heartbeatReceived(long sequence) {
+    starts.heartbeatReceived(sequence);
+  }
+
   /** Called when the worker has begun an incarnation, in which no earlier command counts. */
   void beginIncarnation() {
     starts.clear();
   }
 
+  /**
+   * Whether the absence of the attempt from the worker's newest message proves that it is gone: no
+   * command that was sent before can still start it.
+   */
+  boolean absenceProvesEnd(TaskId task, long attemptNumber) {
+    return hasNoCommandInFlight() && !starts.isOnItsWay(task, attemptNumber);
+  }
+
   /**
    * Whether the worker can be told to clear the attempt: no copy of a command can start the attempt
    * again after that. If a copy of a direct command can, a higher token is requested, so that the
--- a/src/main/java/org/fieldtrestle/worker/HeartbeatOrder.java
+++ b/src/main/java/org/fieldtrestle/worker/HeartbeatOrder.java
@@ -23,6 +23,11 @@
     return sequence;
   }
 
+  /** Returns the sequence of the incarnation's newest heartbeat; negative if there was none. */
+  long heartbeatSequence() {
+    return heartbeatSequence;
+  }
+
   /** Whether any incarnation of the worker has reported. */
   boolean hasIncarnation() {
     return incarnation != NONE;
--- a/src/main/java/org/fieldtrestle/worker/HeartbeatProcessor.java
+++ b/src/main/java/org/fieldtrestle/worker/HeartbeatProcessor.java
@@ -82,6 +82,7 @@
       // would not.
       return Result.REFUSED;
     }
+    worker.fencing().heartbeatReceived(heartbeat.sequence());
     boolean changed = apply(worker, heartbeat);
     checkResponsiveness(worker, heartbeat.sequence(), nowMs);
     connection.order().acceptHeartbeat(heartbeat.sequence());
@@ -105,7 +106,12 @@
     for (WorkerCommand command : assembled) {
       TaskAttempt attempt = worker.attempt(command.task());
       if (attempt != null && command instanceof WorkerCommand.Start) {
-        attempt.expectReportAfter(worker.connection().order().sequence());
+        HeartbeatOrder order = worker.connection().order();
+        attempt.expectReportAfter(order.sequence());
+        worker
+            .fencing()
+            .recordStartInAnswer(
+                attempt.task(), attempt.attemptNumber(), order.heartbeatSequence());
       }
     }
     if (worker.fencing().raiseIfRequested()) {
--- a/src/main/java/org/fieldtrestle/worker/Reconciler.java
+++ b/src/main/java/org/fieldtrestle/worker/Reconciler.java
@@ -84,11 +84,13 @@
         if (attempt.isClearable()) {
           worker.remove(attempt);
         }
-      } else if ((attempt.state() != TaskAttempt.State.STARTING || attempt.isStopping())
-          && worker.hasNoCommandInFlight()) {
-        // The attempt is gone: no start command of unknown outcome can bring it back.
-        outcomes.gone(attempt);
-        changed = true;
+      } else if (attempt.state() != TaskAttempt.State.STARTING || attempt.isStopping()) {
+        if (worker.fencing().absenceProvesEnd(attempt.task(), attempt.attemptNumber())) {
+          outcomes.gone(attempt);
+          changed = true;
+        } else {
+          context.metrics().countAbsentButMayStart();
+        }
       }
     }
     return changed;
--- a/src/test/java/org/fieldtrestle/shard/ShardLeaderFixture.java
+++ b/src/test/java/org/fieldtrestle/shard/ShardLeaderFixture.java
@@ -1,6 +1,7 @@
 package org.fieldtrestle.shard;
 
 import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
@@ -18,6 +19,7 @@
 import org.fieldtrestle.protocol.ExitCause;
 import org.fieldtrestle.protocol.Heartbeat;
 import org.fieldtrestle.protocol.JobSpec;
+import org.fieldtrestle.protocol.Json;
 import org.fieldtrestle.protocol.KeyValueProtocol;
 import org.fieldtrestle.protocol.Priority;
 import org.fieldtrestle.protocol.TaskId;
@@ -76,6 +78,7 @@
   public final ControllerContext context;
   public ShardLeader shard;
   private long epoch;
+  private final List<String> directCommands = new ArrayList<>();
   private long heartbeats;
   private long reportedToken;
 
@@ -245,6 +248,35 @@
     return answers.get(0);
   }
 
+  /**
+   * Lets the worker take direct commands, without effect. It answers each with its report, which
+   * lists no tasks.
+   */
+  void serveDirectCommands() {
+    network.serve(
+        WORKER_ADDRESS,
+        (request, reply) -> {
+          directCommands.add(new String(request.body(), StandardCharsets.UTF_8));
+          ObjectNode report =
+              Json.object()
+                  .put("bench", MACHINE)
+                  .put("address", WORKER_ADDRESS)
+                  .put("rig", "big")
+                  .put("yard", "a")
+                  .put("loaners", true)
+                  .put("shift", 1)
+                  .put("tally", ++heartbeats)
+                  .put("warrant", reportedToken);
+          report.putArray("boards");
+          reply.accept(new Http.Response(200, Json.bytes(report)));
+        });
+  }
+
+  /** Returns the bodies of the direct commands that the worker has received. */
+  List<String> directCommands() {
+    return directCommands;
+  }
+
   /** Counts the commands of a kind that an answer contains for the job's tasks. */
   static int countCommands(Http.Response answer, String kind) {
     String body = new String(answer.body(), StandardCharsets.UTF_8);
--- a/src/test/java/org/fieldtrestle/simulation/FaultyNetwork.java
+++ b/src/test/java/org/fieldtrestle/simulation/FaultyNetwork.java
@@ -10,6 +10,11 @@
 
 /** A network that delays, loses, repeats and holds back messages, as the protocol describes. */
 final class FaultyNetwork {
+  /** A worker waits for longer than this for the answer to a heartbeat. */
+  private static final long MAX_HELD_ANSWER_MS = 3900;
+
+  private static final long MIN_HELD_ANSWER_MS = 500;
+
   /** The shortest time between two deliveries of a direct command. */
   private static final long MIN_REPETITION_MS = 100;
 
@@ -23,6 +28,9 @@
   private double lateCommandShare;
   private double lostAnswerShare;
   private double repeatedHeartbeatShare;
+  private double heldAnswerShare;
+  private int heldAnswers;
+  private long currentAnswerHeldMs;
   private double repeatedCommandShare;
   private long maxRepetitionDelayMs;
   private int repeatedCommands;
@@ -90,6 +98,16 @@
     return repeatedCommands;
   }
 
+  /** Delivers this share of the answers to heartbeats late, but while the worker waits for them. */
+  void holdHeartbeatAnswers(double share) {
+    heldAnswerShare = share;
+  }
+
+  /** Returns how many answers to heartbeats were held back. */
+  int heldAnswers() {
+    return heldAnswers;
+  }
+
   /** Loses this share of answers. */
   void loseAnswers(double share) {
     lostAnswerShare = share;
@@ -230,10 +248,34 @@
       tooLargeAnswers++;
       complete(call, 5, new Http.Unknown("closed"));
     } else if (!lost && partitionedForMs(call.fromZone(), call.address()) == 0) {
-      complete(call, time.between(1, 6), new Http.Answer(response.status(), response.body()));
+      Http.Answer answer = new Http.Answer(response.status(), response.body());
+      if (heldAnswerShare > 0 && call.path().equals("/hello") && time.chance(heldAnswerShare)) {
+        hold(call, answer);
+      } else {
+        complete(call, time.between(1, 6), answer);
+      }
     }
   }
 
+  private void hold(Call call, Http.Answer answer) {
+    heldAnswers++;
+    long arrivesAfterMs = time.between(MIN_HELD_ANSWER_MS, MAX_HELD_ANSWER_MS);
+    long heldMs = Math.max(1, arrivesAfterMs - (time.nowMs() - call.sentAtMs()));
+    time.after(
+        heldMs,
+        call.callerAlive(),
+        () -> {
+          currentAnswerHeldMs = heldMs;
+          call.done().accept(answer);
+          currentAnswerHeldMs = 0;
+        });
+  }
+
+  /** Returns for how long the answer that is being received was held back. */
+  long currentAnswerHeldMs() {
+    return currentAnswerHeldMs;
+  }
+
   // ---- deliveries
 
   /**
--- a/src/test/java/org/fieldtrestle/simulation/LateMessagesTest.java
+++ b/src/test/java/org/fieldtrestle/simulation/LateMessagesTest.java
@@ -90,6 +90,28 @@
         });
   }
 
+  @Test
+  void jobsEndWhenAnswersToHeartbeatsAreHeldForAsLongAsWorkersWait() {
+    forEachDeployment(
+        8,
+        cluster -> {
+          submit(cluster, 1, 32, 20_000);
+          cluster.runFor(25_000); // the fleet is up
+          cluster.network.holdHeartbeatAnswers(1);
+          cluster.faults.recordFault(120_000);
+          for (int i = 0; i < 120; i++) {
+            // The fleet is full, so that answers start most tasks of these jobs.
+            submit(cluster, 1, 2, 16_000);
+            if (i % 2 == 0) { // preempts tasks that have just started in its zone
+              submit(cluster, 1, 3, 2500, job -> job.zone(cluster.time.chance(0.5) ? "a" : "b"));
+            }
+            cluster.runFor(1000);
+          }
+          cluster.network.holdHeartbeatAnswers(0);
+          assertTrue(cluster.network.heldAnswers() > 0, "answers were held");
+        });
+  }
+
   @Test
   void jobsEndWhenUnansweredTransactionsAreExecutedLate() {
     int[] lateCommits = {0};
--- a/src/test/java/org/fieldtrestle/simulation/SimulatedWorker.java
+++ b/src/test/java/org/fieldtrestle/simulation/SimulatedWorker.java
@@ -199,7 +199,7 @@
   }
 
   /** Renews the lease after an answer to a heartbeat, and executes the commands in it. */
-  void onHeartbeatAnswered(JsonNode body, long sentAtMs, long receivedAtMs) {
+  void onHeartbeatAnswered(JsonNode body, long sentAtMs, long answeredAtMs) {
     long newFencingToken = body.path("warrant").asLong(-1);
     if (newFencingToken < fencingToken) {
       return;
@@ -207,7 +207,7 @@
     boolean higher = newFencingToken > fencingToken;
     fencingToken = newFencingToken;
     leaseStartMs = Math.max(leaseStartMs, sentAtMs);
-    tasks.execute(body.path("orders"), receivedAtMs);
+    tasks.execute(body.path("orders"), answeredAtMs);
     if (higher) {
       heartbeats.onChange();
     }
--- a/src/test/java/org/fieldtrestle/simulation/WorkerHeartbeats.java
+++ b/src/test/java/org/fieldtrestle/simulation/WorkerHeartbeats.java
@@ -103,24 +103,24 @@
         lastBody,
         TIMEOUT_MS,
         outcome -> {
-          long receivedAtMs = time.nowMs();
+          long answeredAtMs = time.nowMs() - cluster.network.currentAnswerHeldMs();
           if (worker.faults.isIncomingBlocked()) {
             long leftMs = sent.atMs() + TIMEOUT_MS - time.nowMs();
-            receiveAfter(leftMs, new Http.Unknown("timeout"), sent, receivedAtMs);
+            receiveAfter(leftMs, new Http.Unknown("timeout"), sent, answeredAtMs);
           } else {
-            worker.whenResumed(() -> receive(outcome, sent, receivedAtMs));
+            worker.whenResumed(() -> receive(outcome, sent, answeredAtMs));
           }
         });
   }
 
-  private void receiveAfter(long delayMs, Http.Outcome outcome, Sent sent, long receivedAtMs) {
+  private void receiveAfter(long delayMs, Http.Outcome outcome, Sent sent, long answeredAtMs) {
     time.after(
         delayMs,
         worker::isAlive,
-        () -> worker.whenResumed(() -> receive(outcome, sent, receivedAtMs)));
+        () -> worker.whenResumed(() -> receive(outcome, sent, answeredAtMs)));
   }
 
-  private void receive(Http.Outcome outcome, Sent sent, long receivedAtMs) {
+  private void receive(Http.Outcome outcome, Sent sent, long answeredAtMs) {
     awaitingAnswer = false;
     int status = outcome instanceof Http.Answer answer ? answer.status() : 0;
     byte[] body = outcome instanceof Http.Answer answer ? answer.body() : Http.Response.EMPTY;
@@ -128,7 +128,7 @@
       case 200 -> {
         if (time.nowMs() - sent.atMs() <= TIMEOUT_MS
             && sent.incarnation() == worker.incarnation()) {
-          worker.onHeartbeatAnswered(Json.parseOrEmpty(body), sent.atMs(), receivedAtMs);
+          worker.onHeartbeatAnswered(Json.parseOrEmpty(body), sent.atMs(), answeredAtMs);
         }
       }
       case 421 -> redirect(Json.parseOrEmpty(body).path("foreman").asText(""));
