Let any task run that fits in its team's limit beside what runs

Cause: shards without work of the team keep an idle share, and gave it up only when little of the limit was left. The shard in need gives back a remainder that is too small for its task, so that the others saw plenty left. In the same way waiting tasks without room held quota that a task with room on another shard lacked. Nothing could say "I could start a task now".

Change: a shard whose placement pass has room for a task that its share refuses names itself in the quota record; the others then hold what their tasks use, and grow only for tasks that their own last pass had room for. Whole tasks and gangs are compared, in CPUs and GPUs at once. The record's new field is written only while there is a request; older versions ignore it.

Simulated deployments now set the number of controllers and the team's limit.

--- a/src/main/java/org/fieldtrestle/scheduling/GangPlacer.java
+++ b/src/main/java/org/fieldtrestle/scheduling/GangPlacer.java
@@ -28,7 +28,9 @@
   void place(PlacementPass pass, TaskRange range) {
     BitSet waiting = (BitSet) range.freshOffsets().clone();
     range.retries().keySet().forEach(waiting::set);
-    if (!quotaShares.allows(range.spec(), waiting.cardinality())) {
+    int tasks = waiting.cardinality();
+    boolean allowed = quotaShares.allows(range.spec(), tasks);
+    if (!allowed && quotaShares.isRefusalKnown(range.spec(), tasks)) {
       return;
     }
     Map<Integer, FreeResources> selected = new TreeMap<>();
@@ -41,6 +43,11 @@
       free.take(range.spec());
       selected.put(offset, free);
     }
+    if (!allowed) {
+      selected.values().forEach(taken -> taken.release(range.spec()));
+      quotaShares.recordRefusal(range.spec(), tasks);
+      return;
+    }
     // The tasks of a gang share one attempt number, by which they find each other.
     long attemptNumber = executor.nextAttemptNumber();
     selected.forEach((offset, free) -> executor.place(range, offset, free.worker(), attemptNumber));
--- a/src/main/java/org/fieldtrestle/scheduling/Preemptor.java
+++ b/src/main/java/org/fieldtrestle/scheduling/Preemptor.java
@@ -145,11 +145,12 @@
     for (QueuedGroup<WaitingTasks> group : unplaced) {
       TaskRange range = group.tasks().range();
       int offset = group.tasks().firstOffset();
-      if (offset >= 0
-          && type.fits(range.spec())
-          && constraints.allow(range, offset, worker)
-          && quotaShares.allows(range.spec())) {
-        queue.add(group);
+      if (offset >= 0 && type.fits(range.spec()) && constraints.allow(range, offset, worker)) {
+        if (quotaShares.allows(range.spec())) {
+          queue.add(group);
+        } else if (mayPreempt(group.tasks(), nowMs)) {
+          quotaShares.recordRefusal(range.spec(), 1);
+        }
       }
     }
     List<QueuedGroup<WaitingTasks>> eligible = new ArrayList<>();
--- a/src/main/java/org/fieldtrestle/scheduling/QuotaShares.java
+++ b/src/main/java/org/fieldtrestle/scheduling/QuotaShares.java
@@ -6,11 +6,11 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.TreeMap;
+import java.util.TreeSet;
 import org.fieldtrestle.config.Settings;
 import org.fieldtrestle.context.ControllerContext;
 import org.fieldtrestle.protocol.JobSpec;
 import org.fieldtrestle.protocol.KeyValueProtocol;
-import org.fieldtrestle.protocol.MachineType;
 import org.fieldtrestle.state.CommitResult;
 import org.fieldtrestle.state.QuotaAmount;
 import org.fieldtrestle.state.QuotaRecord;
@@ -19,30 +19,33 @@
 import org.fieldtrestle.state.Transaction;
 import org.fieldtrestle.state.Versioned;
 import org.fieldtrestle.worker.LeadershipTerm;
-import org.fieldtrestle.worker.TaskRange;
 import org.fieldtrestle.worker.TaskRanges;
-import org.fieldtrestle.worker.TeamUsage;
-import org.fieldtrestle.worker.Worker;
 import org.fieldtrestle.worker.WorkerRegistry;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
 
 /**
  * Manages this shard's shares of the teams' quotas. A share grows by a compare-and-swap, up to the
  * part of the quota that no other shard holds, and never shrinks below what the shard's tasks may
  * be using.
+ *
+ * <p>A shard that has room for a task which its share does not allow, and that cannot let the share
+ * grow, requests the quota in its record. As long as it does, each other shard gives up what it
+ * does not use. Any task that fits in the quota beside the tasks that run can thus start, however
+ * the quota was split.
  */
 public final class QuotaShares {
-  /** Tolerance for rounding errors in sums of resources. */
-  private static final double ROUNDING_TOLERANCE = 1e-6;
-
-  /**
-   * CPUs or GPUs that a machine of unknown type counts with: more than any quota, yet small enough
-   * that a few of them can be added without overflow.
-   */
-  private static final double UNKNOWN_MACHINE_RESOURCES = Double.MAX_VALUE / 4;
+  private static final Logger LOG = LoggerFactory.getLogger(QuotaShares.class);
 
   /** How long a share has to be larger than needed before it shrinks, in heartbeat intervals. */
   private static final double SHRINK_AFTER_HEARTBEATS = 2;
 
+  /**
+   * The same if another shard requests the quota. The time allows for a placement pass after a task
+   * has ended, whose resources the next task can use.
+   */
+  private static final double REQUESTED_SHRINK_AFTER_HEARTBEATS = 0.5;
+
   /** Watch intervals between a write that failed or has an unknown outcome and the next write. */
   private static final int RETRY_WATCH_INTERVALS = 2;
 
@@ -51,16 +54,6 @@
    */
   private record PendingShrink(long version, QuotaAmount share) {}
 
-  /**
-   * What the tasks of a team on this shard need.
-   *
-   * @param used what the team's tasks may be using now
-   * @param total what the team's tasks may be using and what its waiting tasks ask for
-   * @param smallestTask the smallest amount that a waiting task asks for, for each resource
-   *     separately
-   */
-  private record Demand(QuotaAmount used, QuotaAmount total, QuotaAmount smallestTask) {}
-
   private final LeadershipTerm term;
   private final WorkerRegistry workers;
   private final TaskRanges ranges;
@@ -68,6 +61,12 @@
   private final Map<String, PendingShrink> pendingShrinks = new HashMap<>();
   private final Set<String> teamsBeingWritten = new HashSet<>();
 
+  /** What the last placement pass had room for. */
+  private final QuotaRefusals refusals = new QuotaRefusals();
+
+  /** The teams whose shares have grown since the last placement pass. */
+  private final Set<String> grownSincePass = new HashSet<>();
+
   /** Since when the share of a team has been larger than needed, in milliseconds. */
   private final Map<String, Long> shrinkableSinceMs = new HashMap<>();
 
@@ -84,6 +83,8 @@
     return team.cpusMax() > 0 || team.gpusMax() > 0;
   }
 
+  // ---- placement
+
   /** Whether the quota share allows one more task of a job. */
   boolean allows(JobSpec spec) {
     return allows(spec, 1);
@@ -95,15 +96,14 @@
     if (team == null) {
       return false;
     }
-    if (!isLimited(team)) {
-      return true;
-    }
-    QuotaAmount share = share(team.name());
-    QuotaAmount used = used(team.name());
-    return (team.cpusMax() <= 0
-            || used.cpus() + spec.cpus() * tasks <= share.cpus() + ROUNDING_TOLERANCE)
-        && (team.gpusMax() <= 0
-            || used.gpus() + spec.gpus() * tasks <= share.gpus() + ROUNDING_TOLERANCE);
+    return !isLimited(team)
+        || QuotaDemand.used(team, context, workers)
+            .plus(need(team, spec, tasks))
+            .fitsIn(share(team.name()));
+  }
+
+  private static QuotaAmount need(Settings.Team team, JobSpec spec, int tasks) {
+    return QuotaDemand.limited(team, spec.cpus() * tasks, spec.gpus() * tasks);
   }
 
   /**
@@ -117,30 +117,33 @@
     }
     QuotaAmount share = stored.record().shareOf(term.shard());
     PendingShrink pending = pendingShrinks.get(team);
-    if (pending != null && pending.version() == stored.version()) {
-      return new QuotaAmount(
-          Math.min(share.cpus(), pending.share().cpus()),
-          Math.min(share.gpus(), pending.share().gpus()));
-    }
-    return share;
+    return pending != null && pending.version() == stored.version()
+        ? share.min(pending.share())
+        : share;
   }
 
-  /**
-   * Returns what the team's tasks may be using on this shard. A machine that has not reported in
-   * this term counts with all its resources.
-   */
-  private QuotaAmount used(String team) {
-    TeamUsage usage = workers.teamUsage();
-    double cpus = usage.cpus(team);
-    double gpus = usage.gpus(team);
-    for (Worker worker : workers.unreconciled()) {
-      MachineType type = context.machineType(worker.machineType());
-      cpus += type == null ? UNKNOWN_MACHINE_RESOURCES : type.cpus();
-      gpus += type == null ? UNKNOWN_MACHINE_RESOURCES : type.gpus();
+  /** Called at the beginning of a placement pass. */
+  void beginPass() {
+    refusals.clear();
+    grownSincePass.clear();
+  }
+
+  /** Whether this pass has found that the team's share refuses no larger a need than this one. */
+  boolean isRefusalKnown(JobSpec spec, int tasks) {
+    Settings.Team team = context.settings().team(spec.team());
+    return team == null || refusals.covers(team.name(), need(team, spec, tasks));
+  }
+
+  /** Called when there is room for these tasks of a job and only the quota share refuses them. */
+  void recordRefusal(JobSpec spec, int tasks) {
+    Settings.Team team = context.settings().team(spec.team());
+    if (team != null) {
+      refusals.add(team.name(), need(team, spec, tasks));
     }
-    return new QuotaAmount(cpus, gpus);
   }
 
+  // ---- growing and shrinking
+
   /** Grows and shrinks the shares as needed. At most one write per team is in flight. */
   public void tick() {
     for (Settings.Team team : context.settings().teams()) {
@@ -155,137 +158,126 @@
       return;
     }
     Versioned<QuotaRecord> stored = context.stateCache().quota(team.name());
-    long version = stored == null ? 0 : stored.version();
-    Map<String, QuotaAmount> shares =
-        stored == null ? new TreeMap<>() : new TreeMap<>(stored.record().shares());
-    QuotaAmount share = shares.getOrDefault(term.shard(), QuotaAmount.NONE);
-    QuotaAmount target = targetShare(team, shares, share);
-    boolean grows =
-        target.cpus() > share.cpus() + ROUNDING_TOLERANCE
-            || target.gpus() > share.gpus() + ROUNDING_TOLERANCE;
-    boolean shrinks =
-        target.cpus() < share.cpus() - ROUNDING_TOLERANCE
-            || target.gpus() < share.gpus() - ROUNDING_TOLERANCE;
-    // While it is not known whether a smaller share was written, that share limits this shard,
-    // until
+    QuotaRecord record = stored == null ? QuotaRecord.EMPTY : stored.record();
+    boolean requestedByOthers = record.isRequestedByOthers(term.shard());
+    if (requestedByOthers && grownSincePass.contains(team.name())) {
+      return; // no pass has used what the share has grown by
+    }
+    QuotaDemand demand = QuotaDemand.of(team, context, workers, ranges, term.policy());
+    QuotaAmount share = record.shareOf(term.shard());
+    QuotaAmount target = targetShare(team, record, demand);
+    boolean requests = mustRequest(team, demand, target);
+    boolean grows = !target.fitsIn(share);
+    boolean shrinks = !share.fitsIn(target);
+    // While it is not known whether a smaller share was written, that share limits this shard until
     // the record has a newer version. Any write gives the record one, so the target share is
-    // written
-    // at once.
+    // written at once.
     PendingShrink pending = pendingShrinks.get(team.name());
-    boolean writeNow = grows || (pending != null && pending.version() == version);
-    if (!isDue(team.name(), writeNow, shrinks)) {
+    long version = stored == null ? 0 : stored.version();
+    boolean writeNow =
+        grows
+            || (requests && !record.isRequestedBy(term.shard()))
+            || (pending != null && pending.version() == version);
+    boolean releases = shrinks || (record.isRequestedBy(term.shard()) && !requests);
+    if (!isDue(team.name(), writeNow, releases, requestedByOthers)) {
       return;
     }
-    shares.put(term.shard(), target);
     if (stored != null && shrinks) {
       pendingShrinks.put(team.name(), new PendingShrink(version, target));
     }
-    write(team.name(), version, new QuotaRecord(shares));
+    write(team.name(), version, record, target, requests);
   }
 
   /**
-   * Whether a share is to be written now: a larger share at once, a smaller one after some time.
+   * Whether a share is to be written now: a larger share or a request at once, a smaller share or
+   * the end of a request after some time.
    */
-  private boolean isDue(String team, boolean writeNow, boolean shrinks) {
-    if (!writeNow && shrinks) {
+  private boolean isDue(
+      String team, boolean writeNow, boolean releases, boolean requestedByOthers) {
+    if (!writeNow && releases) {
       long nowMs = context.nowMs();
       long sinceMs = shrinkableSinceMs.computeIfAbsent(team, t -> nowMs);
-      if (nowMs - sinceMs < context.heartbeatIntervalsMs(SHRINK_AFTER_HEARTBEATS)) {
+      double heartbeats =
+          requestedByOthers ? REQUESTED_SHRINK_AFTER_HEARTBEATS : SHRINK_AFTER_HEARTBEATS;
+      if (nowMs - sinceMs < context.heartbeatIntervalsMs(heartbeats)) {
         return false;
       }
     }
     shrinkableSinceMs.remove(team);
-    return writeNow || shrinks;
+    return writeNow || releases;
   }
 
-  private QuotaAmount targetShare(
-      Settings.Team team, Map<String, QuotaAmount> shares, QuotaAmount share) {
-    double cpusOfOthers = 0;
-    double gpusOfOthers = 0;
-    for (Map.Entry<String, QuotaAmount> entry : shares.entrySet()) {
-      if (!entry.getKey().equals(term.shard())) {
-        cpusOfOthers += entry.getValue().cpus();
-        gpusOfOthers += entry.getValue().gpus();
-      }
+  /** Returns the share that this shard should have. */
+  private QuotaAmount targetShare(Settings.Team team, QuotaRecord record, QuotaDemand demand) {
+    QuotaAmount limit = QuotaDemand.limited(team, team.cpusMax(), team.gpusMax());
+    QuotaAmount available = limit.minus(record.sharesOfOthers(term.shard()));
+    boolean requestedByOthers = record.isRequestedByOthers(term.shard());
+    // While another shard requests the quota, waiting tasks without room here must not hold any.
+    List<QuotaAmount> needs =
+        requestedByOthers ? refusals.needs(team.name()) : demand.smallestNeeds();
+    boolean canUseMore =
+        needs.stream().anyMatch(need -> demand.used().plus(need).fitsIn(available));
+    QuotaAmount wanted = demand.used();
+    if (canUseMore) {
+      wanted = demand.total();
     }
-    Demand demand = demand(team.name());
-    return new QuotaAmount(
-        targetShare(
-            team.cpusMax(),
-            cpusOfOthers,
-            demand.used().cpus(),
-            demand.total().cpus(),
-            demand.smallestTask().cpus(),
-            share.cpus()),
-        targetShare(
-            team.gpusMax(),
-            gpusOfOthers,
-            demand.used().gpus(),
-            demand.total().gpus(),
-            demand.smallestTask().gpus(),
-            share.gpus()));
+    if (!requestedByOthers && (canUseMore || demand.isSatisfied())) {
+      wanted = wanted.max(idleShare(limit, available));
+    }
+    QuotaAmount share = record.shareOf(term.shard());
+    return wanted.min(available).max(share.min(demand.used()));
   }
 
   /**
-   * Returns the share of one resource that this shard should have.
-   *
-   * @param limit the team's limit
-   * @param sharesOfOthers the sum of the shares of all other shards
-   * @param used what the team's tasks may be using on this shard
-   * @param needed {@code used} and what the team's waiting tasks on this shard ask for
-   * @param smallestTask the smallest amount that a waiting task asks for
-   * @param current the present share
+   * Returns the share that this shard keeps even when it is idle, so that new work does not have to
+   * wait for a write: half of an equal part of the quota. It keeps none if the other shards hold
+   * nearly all of the quota, as they may need more.
    */
-  private double targetShare(
-      double limit,
-      double sharesOfOthers,
-      double used,
-      double needed,
-      double smallestTask,
-      double current) {
-    double available = Math.max(0, limit - sharesOfOthers);
-    // A shard keeps half of an equal part of the quota even when it is idle, so that new work does
-    // not have to wait for a write. It keeps none if the other shards hold nearly all of the quota,
-    // as they may need more.
-    double idleShare = limit / shardCount() / 2;
-    double target =
-        Math.min(Math.max(needed, available < 2 * idleShare ? 0 : idleShare), available);
-    if (target < needed && target - used < smallestTask - ROUNDING_TOLERANCE) {
-      // What could be added is too little for any task that waits here, but several such remainders
-      // together are enough for a task on another shard.
-      target = Math.min(used, available);
-    }
-    return Math.max(target, Math.min(current, used));
-  }
-
-  private double shardCount() {
-    return context.settings().peers().size() + 1;
+  private QuotaAmount idleShare(QuotaAmount limit, QuotaAmount available) {
+    int shards = context.settings().peers().size() + 1;
+    QuotaAmount idle = limit.times(0.5 / shards);
+    return new QuotaAmount(
+        available.cpus() < 2 * idle.cpus() ? 0 : idle.cpus(),
+        available.gpus() < 2 * idle.gpus() ? 0 : idle.gpus());
   }
 
-  private Demand demand(String team) {
-    QuotaAmount used = used(team);
-    double cpus = used.cpus();
-    double gpus = used.gpus();
-    double leastCpus = Double.MAX_VALUE;
-    double leastGpus = Double.MAX_VALUE;
-    for (TaskRange range : ranges.all()) {
-      if (range.waitingCount() > 0
-          && range.record().team().equals(team)
-          && !term.policy().mustStop(range)) {
-        cpus += range.waitingCount() * range.record().cpus();
-        gpus += range.waitingCount() * range.record().gpus();
-        leastCpus = Math.min(leastCpus, range.record().cpus());
-        leastGpus = Math.min(leastGpus, range.record().gpus());
+  /**
+   * Whether there is room for a task that would fit in the team's quota beside the tasks that run
+   * here, and that the target share does not allow.
+   */
+  private boolean mustRequest(Settings.Team team, QuotaDemand demand, QuotaAmount target) {
+    QuotaAmount limit = QuotaDemand.limited(team, team.cpusMax(), team.gpusMax());
+    boolean any = false;
+    for (QuotaAmount need : refusals.needs(team.name())) {
+      QuotaAmount needed = demand.used().plus(need);
+      if (needed.fitsIn(target)) {
+        return false;
       }
+      any |= needed.fitsIn(limit);
     }
-    return new Demand(used, new QuotaAmount(cpus, gpus), new QuotaAmount(leastCpus, leastGpus));
+    return any;
   }
 
-  private void write(String team, long version, QuotaRecord quota) {
+  private void write(
+      String team, long version, QuotaRecord record, QuotaAmount target, boolean requests) {
     String key = StateKeys.quota(team);
+    QuotaAmount before = record.shareOf(term.shard());
+    Map<String, QuotaAmount> shares = new TreeMap<>(record.shares());
+    shares.put(term.shard(), target);
+    Set<String> requesters = new TreeSet<>(record.requesters());
+    boolean changed = requests ? requesters.add(term.shard()) : requesters.remove(term.shard());
+    if (changed) {
+      LOG.atInfo()
+          .addKeyValue("team", team)
+          .addKeyValue("shard", term.shard())
+          .addKeyValue("cpus", target.cpus())
+          .addKeyValue("gpus", target.gpus())
+          .log(requests ? "quota requested from other shards" : "quota no longer requested");
+    }
     List<KeyValueProtocol.Condition> conditions =
         List.of(new KeyValueProtocol.Condition(key, version), term.guard());
-    List<KeyValueProtocol.Change> changes = List.of(StateChanges.put(key, quota));
+    List<KeyValueProtocol.Change> changes =
+        List.of(StateChanges.put(key, new QuotaRecord(shares, requesters)));
     teamsBeingWritten.add(team);
     context
         .store()
@@ -296,6 +288,9 @@
               if (result instanceof CommitResult.Committed committed) {
                 context.stateCache().applyCommit(changes, committed.revision());
                 pauseMs = 0;
+                if (!target.fitsIn(before)) {
+                  grownSincePass.add(team);
+                }
               }
               context.reactor().schedule(pauseMs, () -> teamsBeingWritten.remove(team));
             });
--- a/src/main/java/org/fieldtrestle/scheduling/TaskPlacer.java
+++ b/src/main/java/org/fieldtrestle/scheduling/TaskPlacer.java
@@ -100,6 +100,7 @@
    * for those that do not. Does nothing if no task waits.
    */
   public void runPass(long nowMs) {
+    quotaShares.beginPass();
     List<QueuedGroup<WaitingTasks>> groups = collector.collect(nowMs);
     if (groups.isEmpty()) {
       return;
@@ -152,9 +153,11 @@
     TaskRange range = tasks.range();
     // Free resources only shrink during a step: if one task of a range finds no room, neither do
     // the others.
-    if (range.noRoomInStep() == step
-        || !quotaShares.allows(range.spec())
-        || isReservedForOthers(pass, tasks)) {
+    if (range.noRoomInStep() == step) {
+      return null;
+    }
+    boolean allowed = quotaShares.allows(range.spec());
+    if (allowed ? isReservedForOthers(pass, tasks) : quotaShares.isRefusalKnown(range.spec(), 1)) {
       return null;
     }
     FreeResources free = workerSelector.select(pass, tasks, tasks.firstOffset());
@@ -162,6 +165,10 @@
       range.markNoRoomIn(step);
       return null;
     }
+    if (!allowed) {
+      quotaShares.recordRefusal(range.spec(), 1);
+      return null;
+    }
     return mustWaitForImage(pass, tasks, free.worker(), preferImage) ? null : free;
   }
 
--- a/src/main/java/org/fieldtrestle/state/RecordCodec.java
+++ b/src/main/java/org/fieldtrestle/state/RecordCodec.java
@@ -6,7 +6,9 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.TreeMap;
+import java.util.TreeSet;
 import org.fieldtrestle.protocol.JobSpecCodec;
 import org.fieldtrestle.protocol.Json;
 import org.fieldtrestle.protocol.MalformedJsonException;
@@ -222,6 +224,9 @@
     quota
         .shares()
         .forEach((shard, share) -> shares.putArray(shard).add(share.cpus()).add(share.gpus()));
+    if (!quota.requesters().isEmpty()) {
+      quota.requesters().forEach(json.putArray("requesters")::add);
+    }
     return json;
   }
 
@@ -244,7 +249,9 @@
             }
             shares.put(share.getKey(), new QuotaAmount(cpus, gpus));
           }
-          return new QuotaRecord(shares);
+          Set<String> requesters = new TreeSet<>();
+          json.path("requesters").forEach(shard -> requesters.add(shard.asText()));
+          return new QuotaRecord(shares, requesters);
         });
   }
 
--- a/src/test/java/org/fieldtrestle/simulation/ClusterLayout.java
+++ b/src/test/java/org/fieldtrestle/simulation/ClusterLayout.java
@@ -3,6 +3,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.function.IntFunction;
+import java.util.stream.IntStream;
 import org.fieldtrestle.config.Settings;
 
 /** Names, addresses and settings of the processes of a simulated cluster. */
@@ -10,8 +11,8 @@
   static final String STORE_ADDRESS = "10.2.0.1:2379";
   static final String CLOUD_ADDRESS = "10.2.0.2:8443";
 
-  /** The labels of the controllers. */
-  static final List<String> LABELS = List.of("trestle-0", "trestle-1", "trestle-2");
+  /** The labels of the controllers of a deployment with the usual number of them. */
+  static final List<String> LABELS = labels(3);
 
   /** The zone of the key-value store, the cloud and the users. */
   static final String REGIONAL_ZONE = "regional";
@@ -23,10 +24,13 @@
   /** The team that has a quota. */
   static final String LIMITED_TEAM = "limited";
 
-  static final double LIMITED_TEAM_CPUS = 40;
-
   private ClusterLayout() {}
 
+  /** Returns the labels of a number of controllers, which may be ten at the most. */
+  static List<String> labels(int controllers) {
+    return IntStream.range(0, controllers).mapToObj(number -> "trestle-" + number).toList();
+  }
+
   /** Returns the address at which a controller serves users and workers. */
   static String address(String label) {
     return "10.0.0." + digit(label) + ":8080";
@@ -49,15 +53,10 @@
     return label.endsWith("1") ? "b" : "a";
   }
 
-  /** Returns how many CPUs a team may use at a time. */
-  static double quotaCpus(String team) {
-    return team.equals(LIMITED_TEAM) ? LIMITED_TEAM_CPUS : Double.MAX_VALUE;
-  }
-
   /** Returns the settings of a controller. */
   static Settings settings(String label, Deployment deployment) {
     List<Settings.Peer> peers = new ArrayList<>();
-    for (String other : LABELS) {
+    for (String other : labels(deployment.controllers())) {
       if (!other.equals(label)) {
         peers.add(new Settings.Peer(other, zone(other), peerAddress(other)));
       }
@@ -73,7 +72,7 @@
         List.of("a", "b"),
         100,
         List.of(
-            new Settings.Team(LIMITED_TEAM, 16, LIMITED_TEAM_CPUS, 0, 0),
+            new Settings.Team(LIMITED_TEAM, 16, deployment.limitedTeamCpus(), 0, 0),
             new Settings.Team("open", 16, 0, 0, 0)),
         List.of(new Settings.Objective("wait", "rush", 0.9, 1, 5)),
         new Settings.WorkerTiming(
--- a/src/test/java/org/fieldtrestle/simulation/Deployment.java
+++ b/src/test/java/org/fieldtrestle/simulation/Deployment.java
@@ -15,6 +15,8 @@
  * @param processLimits limits of a controller process
  * @param maxListEntries maximum number of entries on a page that the key-value store lists
  * @param enforcesLimits whether the simulated key-value store refuses requests beyond its limits
+ * @param controllers number of controllers
+ * @param limitedTeamCpus how many CPUs the tasks of {@link ClusterLayout#LIMITED_TEAM} may use
  */
 record Deployment(
     long heartbeatIntervalMs,
@@ -24,7 +26,11 @@
     Settings.CloudLimits cloudLimits,
     Settings.ProcessLimits processLimits,
     int maxListEntries,
-    boolean enforcesLimits) {
+    boolean enforcesLimits,
+    int controllers,
+    double limitedTeamCpus) {
+  private static final int CONTROLLERS = 3;
+  private static final double LIMITED_TEAM_CPUS = 40;
 
   /**
    * Returns a deployment for a few machines. Its list pages are small, so that every listing of the
@@ -39,7 +45,9 @@
         new Settings.CloudLimits(3, 6),
         new Settings.ProcessLimits(0.2, 263, 1800),
         7,
-        false);
+        false,
+        CONTROLLERS,
+        LIMITED_TEAM_CPUS);
   }
 
   /**
@@ -97,7 +105,9 @@
         new Settings.CloudLimits(4, 6),
         processLimits,
         1000,
-        true);
+        true,
+        CONTROLLERS,
+        LIMITED_TEAM_CPUS);
   }
 
   /** Returns a copy with another limit on the requests to the key-value store. */
@@ -114,6 +124,23 @@
         cloudLimits,
         processLimits,
         maxListEntries,
-        enforcesLimits);
+        enforcesLimits,
+        controllers,
+        limitedTeamCpus);
+  }
+
+  /** Returns a copy with another number of controllers and another limit of the limited team. */
+  Deployment with(int otherControllers, double otherLimitedTeamCpus) {
+    return new Deployment(
+        heartbeatIntervalMs,
+        leaseMs,
+        cancellationTimeMs,
+        keyValueStoreLimits,
+        cloudLimits,
+        processLimits,
+        maxListEntries,
+        enforcesLimits,
+        otherControllers,
+        otherLimitedTeamCpus);
   }
 }
--- a/src/test/java/org/fieldtrestle/simulation/InvariantChecker.java
+++ b/src/test/java/org/fieldtrestle/simulation/InvariantChecker.java
@@ -24,7 +24,7 @@
     this.cluster = cluster;
     violations = new Violations(cluster.time);
     placements = new TaskPlacements(cluster);
-    placementInvariants = new PlacementInvariants(violations, placements);
+    placementInvariants = new PlacementInvariants(cluster, violations, placements);
     cancellationInvariants = new CancellationInvariants(cluster, violations);
     answerInvariants = new AnswerInvariants(cluster, violations, cancellationInvariants);
     progressInvariants = new ProgressInvariants(cluster, violations, placements, answerInvariants);
--- a/src/test/java/org/fieldtrestle/simulation/PlacementInvariants.java
+++ b/src/test/java/org/fieldtrestle/simulation/PlacementInvariants.java
@@ -8,21 +8,16 @@
  * the quota of its team.
  */
 final class PlacementInvariants {
-  private static final double ROUNDING_CPUS = 1e-6;
-
+  private final SimulatedCluster cluster;
   private final Violations violations;
   private final TaskPlacements placements;
 
-  PlacementInvariants(Violations violations, TaskPlacements placements) {
+  PlacementInvariants(SimulatedCluster cluster, Violations violations, TaskPlacements placements) {
+    this.cluster = cluster;
     this.violations = violations;
     this.placements = placements;
   }
 
-  /** Whether this number of CPUs exceeds the quota of a team. */
-  static boolean exceedsQuota(String team, double cpus) {
-    return cpus > ClusterLayout.quotaCpus(team) + ROUNDING_CPUS;
-  }
-
   /** Whether the type, the zone and the kind (spot or not) of a machine meet the needs of a job. */
   static boolean allows(SimulatedJob job, SimulatedWorker machine) {
     return (job.type() == null || job.type().equals(machine.type))
@@ -41,7 +36,7 @@
       violations.add("wrong_place", task + " starts on " + machine.id);
     }
     double usedCpus = placements.usedCpus(job.team());
-    if (exceedsQuota(job.team(), usedCpus)) {
+    if (cluster.exceedsQuota(job.team(), usedCpus)) {
       violations.add("quota", job.team() + " uses " + usedCpus);
     }
     checkZones(job, task);
--- a/src/test/java/org/fieldtrestle/simulation/ProgressInvariants.java
+++ b/src/test/java/org/fieldtrestle/simulation/ProgressInvariants.java
@@ -109,8 +109,7 @@
         || AnswerInvariants.isFinal(answers.lastStage(job.id()))
         || cluster.users.hasCancelled(job.id())
         || !hasWaitingTask(job, heldTasks)
-        || PlacementInvariants.exceedsQuota(
-            job.team(), placements.usedCpus(job.team()) + job.cpus())) {
+        || cluster.exceedsQuota(job.team(), placements.usedCpus(job.team()) + job.cpus())) {
       return false;
     }
     Map<String, Integer> tasksByZone = placements.countsByZone(job);
--- a/src/test/java/org/fieldtrestle/simulation/SimulatedCluster.java
+++ b/src/test/java/org/fieldtrestle/simulation/SimulatedCluster.java
@@ -11,9 +11,9 @@
 import org.fieldtrestle.transport.Http;
 
 /**
- * Three controllers that run the production code in simulated time, with a simulated network,
- * key-value store and cloud, and simulated workers and users. The same seed and the same actions of
- * a test lead to the same events.
+ * Controllers that run the production code in simulated time, with a simulated network, key-value
+ * store and cloud, and simulated workers and users. The same seed and the same actions of a test
+ * lead to the same events.
  */
 final class SimulatedCluster {
   /** Interval at which the invariants about durations are checked, in milliseconds. */
@@ -33,6 +33,9 @@
   final long heartbeatIntervalMs;
   final long leaseMs;
   final long cancellationTimeMs;
+  private static final double ROUNDING_CPUS = 1e-6;
+
+  private final List<String> labels;
   private final IntFunction<String> workerAddress;
   private final Map<String, SimulatedController> controllers = new HashMap<>();
 
@@ -64,6 +67,7 @@
       long seed, int machines, Deployment deployment, IntFunction<String> workerAddress) {
     this.workerAddress = workerAddress;
     this.deployment = deployment;
+    this.labels = ClusterLayout.labels(deployment.controllers());
     this.heartbeatIntervalMs = deployment.heartbeatIntervalMs();
     this.leaseMs = deployment.leaseMs();
     this.cancellationTimeMs = deployment.cancellationTimeMs();
@@ -74,7 +78,7 @@
     users = new SimulatedUsers(this);
     invariants = new InvariantChecker(this);
     cloud = new SimulatedCloud(time, this, machines);
-    network.setCopyTargets(ClusterLayout.LABELS.stream().map(ClusterLayout::address).toList());
+    network.setCopyTargets(labels().stream().map(ClusterLayout::address).toList());
     network.serve(ClusterLayout.STORE_ADDRESS, ClusterLayout.REGIONAL_ZONE, store);
     network.serve(ClusterLayout.CLOUD_ADDRESS, ClusterLayout.REGIONAL_ZONE, cloud);
   }
@@ -85,7 +89,7 @@
 
   /** Starts all controllers and the periodic check of the invariants. */
   void startAll() {
-    ClusterLayout.LABELS.forEach(this::start);
+    labels().forEach(this::start);
     checkPeriodically();
   }
 
@@ -96,13 +100,19 @@
   }
 
   List<String> labels() {
-    return ClusterLayout.LABELS;
+    return labels;
   }
 
   String workerAddress(int number) {
     return workerAddress.apply(number);
   }
 
+  /** Whether this number of CPUs exceeds the quota of a team. */
+  boolean exceedsQuota(String team, double cpus) {
+    return team.equals(ClusterLayout.LIMITED_TEAM)
+        && cpus > deployment.limitedTeamCpus() + ROUNDING_CPUS;
+  }
+
   Deployment deployment() {
     return deployment;
   }
--- a/src/test/java/org/fieldtrestle/simulation/SimulatedUsers.java
+++ b/src/test/java/org/fieldtrestle/simulation/SimulatedUsers.java
@@ -240,8 +240,8 @@
 
   private void call(
       String method, String path, byte[] body, long timeoutMs, Consumer<Http.Answer> done) {
-    List<String> ready = ClusterLayout.LABELS.stream().filter(cluster::isReady).toList();
-    List<String> candidates = ready.isEmpty() ? ClusterLayout.LABELS : ready;
+    List<String> ready = cluster.labels().stream().filter(cluster::isReady).toList();
+    List<String> candidates = ready.isEmpty() ? cluster.labels() : ready;
     String label = candidates.get((int) time.between(0, candidates.size() - 1));
     callAt(label, method, path, body, timeoutMs, done);
   }
--- a/src/test/java/org/fieldtrestle/state/StoredRecordCompatibilityTest.java
+++ b/src/test/java/org/fieldtrestle/state/StoredRecordCompatibilityTest.java
@@ -1,6 +1,8 @@
 package org.fieldtrestle.state;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import com.fasterxml.jackson.databind.JsonNode;
 import java.io.IOException;
@@ -8,6 +10,7 @@
 import java.util.BitSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.TreeMap;
 import org.fieldtrestle.protocol.CompatibilityFixture;
 import org.fieldtrestle.protocol.JobSpec;
@@ -238,6 +241,20 @@
         "quota", new StateKey.QuotaKey(team), StateKeys.quota(team), RecordCodec.encode(quota));
   }
 
+  /** An older version reads the shares and ignores the other field. */
+  @Test
+  void quotasNameTheShardsThatRequestThem() throws Exception {
+    QuotaRecord quota =
+        new QuotaRecord(
+            Map.of("trestle-0", new QuotaAmount(12.5, 1)), Set.of("trestle-1", "trestle-2"));
+    JsonNode json = RecordCodec.encode(quota);
+    assertEquals(quota, RecordCodec.decodeQuota(json));
+    assertEquals(12.5, json.path("shares").path("trestle-0").path(0).asDouble());
+    assertTrue(quota.isRequestedByOthers("trestle-0"));
+    assertTrue(quota.isRequestedByOthers("trestle-1"));
+    assertFalse(QuotaRecord.EMPTY.isRequestedByOthers("trestle-0"));
+  }
+
   private void assertFinished(String name, String id, FinishedJobRecord job) throws Exception {
     assertEquals(job, RecordCodec.decodeFinishedJob(value(name)));
     assertStored(
