Bound the wait for an image beside free machines

Cause: the wait rests on an estimate in which tasks of the same image always end soon; only the job's deadline bounded it. Lost and later tasks of a job are not exempt as the first one is.

Change: the limit on withholding reserved room from a range, two worker leases or a boot, becomes a class of its own and bounds the wait for an image too. It starts anew whenever no machine has room.

--- a/src/main/java/org/fieldtrestle/scheduling/TaskPlacer.java
+++ b/src/main/java/org/fieldtrestle/scheduling/TaskPlacer.java
@@ -44,6 +44,7 @@
   private final PlacementExecutor executor;
   private final WaitingTaskCollector collector;
   private final ReservedCapacity reservedCapacity;
+  private final WithholdingLimit withholdingLimit;
   private final ImageLocality imageLocality;
   private final WorkerSelector workerSelector;
   private final GangPlacer gangPlacer;
@@ -77,7 +78,8 @@
     PlacementConstraints constraints = new PlacementConstraints(failures);
     this.collector =
         new WaitingTaskCollector(context, policy, selectivePreemption, workers, ranges, executor);
-    this.reservedCapacity = new ReservedCapacity(context, shard, workers, constraints);
+    this.reservedCapacity = new ReservedCapacity(context, shard, workers);
+    this.withholdingLimit = new WithholdingLimit(context, constraints);
     this.imageLocality = new ImageLocality(context, workers, downloads);
     this.workerSelector = new WorkerSelector(constraints, imageLocality);
     this.gangPlacer = new GangPlacer(quotaShares, workerSelector, executor);
@@ -163,6 +165,7 @@
     FreeResources free = workerSelector.select(pass, tasks, tasks.firstOffset());
     if (free == null) {
       range.markNoRoomIn(step);
+      withholdingLimit.noWorkerFound(range, pass);
       return null;
     }
     if (!allowed) {
@@ -175,7 +178,7 @@
   private boolean isReservedForOthers(PlacementPass pass, WaitingTasks tasks) {
     return !tasks.overdue()
         && reservedCapacity.isWithheldFrom(tasks.range().spec(), pass)
-        && !reservedCapacity.mayTakeReserved(tasks.range(), pass);
+        && !withholdingLimit.isReached(tasks.range(), pass);
   }
 
   /**
@@ -192,7 +195,7 @@
     }
     return preferImage
         ? !imageLocality.mayBePlacedAnywhere(tasks, pass.nowMs())
-        : imageLocality.mustWaitForImage(range, pass);
+        : imageLocality.mustWaitForImage(range, pass) && !withholdingLimit.isReached(range, pass);
   }
 
   private static QueuedGroup<WaitingTasks> takeUnplaced(
--- a/src/test/java/org/fieldtrestle/simulation/QuotaLimitTest.java
+++ b/src/test/java/org/fieldtrestle/simulation/QuotaLimitTest.java
@@ -42,8 +42,7 @@
   }
 
   private static void submitLimited(SimulatedCluster cluster, String id, int tasks, double cpus) {
-    cluster.users.submit(
-        id, job -> job.team("limited").tasks(tasks).cpus(cpus).runMs(4000).image("img-" + id));
+    cluster.users.submit(id, job -> job.team("limited").tasks(tasks).cpus(cpus).runMs(4000));
   }
 
   private static void assertAllEnd(SimulatedCluster cluster, long withinMs) {
