Histories and search with repeated commands, held answers and tight quotas

Random histories repeat direct commands, hold answers to heartbeats for as long as workers wait, and use a quota of hardly more than one task. The search has two faults of these kinds and a scenario in which urgent jobs preempt tasks twice, beside a team whose quota has room for one task.

--- a/src/test/java/org/fieldtrestle/simulation/RandomHistoriesTest.java
+++ b/src/test/java/org/fieldtrestle/simulation/RandomHistoriesTest.java
@@ -109,6 +109,36 @@
     assertEnds(cluster, jobs);
   }
 
+  /**
+   * Direct commands arrive a second time, answers to heartbeats are held for as long as workers
+   * wait, and a team's quota is not much more than one of its tasks, while other faults happen.
+   */
+  @Property(tries = 15, seed = "48", shrinking = ShrinkingMode.OFF)
+  void invariantsHoldWhenCommandsAreRepeatedAndAnswersAreHeld(@ForAll long seed) {
+    SimulatedCluster cluster =
+        SimulatedCluster.builder()
+            .seed(seed)
+            .machines(12)
+            .deployment(Deployment.small(4000, 22_000, 52_000).with(3, 12))
+            .start();
+    SimulatedTime time = cluster.time;
+    cluster.network.repeatCommands(0.5, 90_000);
+    cluster.network.holdHeartbeatAnswers(0.1);
+    cluster.faults.recordFault(230_000);
+    List<SimulatedJob> jobs = submitRandomJobs(cluster, 14, 120_000);
+    for (int i = 0; i < 4; i++) {
+      time.after(time.between(10_000, 180_000), () -> RandomFaults.inject(cluster));
+      time.after(
+          time.between(20_000, 180_000),
+          () -> cluster.users.cancel(jobs.get((int) time.between(0, jobs.size() - 1))));
+    }
+    time.after(230_000, () -> cluster.network.holdHeartbeatAnswers(0));
+    time.after(230_000, () -> cluster.network.repeatCommands(0, 0));
+    time.runUntil(1_500_000);
+    assertEnds(cluster, jobs);
+    assertTrue(cluster.network.heldAnswers() > 0, "answers were held");
+  }
+
   /**
    * Guards against a fault in which machines that no longer existed blocked a team's quota after
    * each of four failovers.
--- a/src/test/java/org/fieldtrestle/simulation/SteppedCluster.java
+++ b/src/test/java/org/fieldtrestle/simulation/SteppedCluster.java
@@ -60,6 +60,14 @@
     Effect before(Step step);
   }
 
+  private static final int CONTROLLERS = 3;
+
+  /** Leaves room for one task that fills a machine, but not for two. */
+  private static final double LIMITED_TEAM_CPUS = 20;
+
+  /** How long after its first delivery a repeated command may arrive. */
+  private static final long MAX_REPETITION_MS = 40_000;
+
   private final SimulatedCluster cluster;
   private final StepObserver observer;
 
@@ -71,7 +79,7 @@
         SimulatedCluster.builder()
             .seed(seed)
             .machines(machines)
-            .deployment(Deployment.largeWithLongIntervals())
+            .deployment(Deployment.largeWithLongIntervals().with(CONTROLLERS, LIMITED_TEAM_CPUS))
             .start();
     this.observer = new StepObserver(cluster.time, listener);
     cluster.observeMessages(observer);
@@ -135,6 +143,12 @@
     submit(id, tasks, cpus, runMs, true);
   }
 
+  /** Submits a job of equal tasks of a team with a quota. */
+  public void submitLimited(String id, int tasks, double cpus, long runMs) {
+    cluster.users.submit(
+        id, job -> job.team(ClusterLayout.LIMITED_TEAM).tasks(tasks).cpus(cpus).runMs(runMs));
+  }
+
   private void submit(String id, int tasks, double cpus, long runMs, boolean spread) {
     cluster.users.submit(
         id,
@@ -209,6 +223,20 @@
     cluster.time.after(durationMs, () -> cluster.store.delayCommits(0));
   }
 
+  /** Delivers the direct commands that are sent within a time again, at later times. */
+  public void repeatCommands(long durationMs) {
+    cluster.faults.recordFault(durationMs + MAX_REPETITION_MS);
+    cluster.network.repeatCommands(1, MAX_REPETITION_MS);
+    cluster.time.after(durationMs, () -> cluster.network.repeatCommands(0, MAX_REPETITION_MS));
+  }
+
+  /** Holds the answers to heartbeats that are given within a time. */
+  public void holdHeartbeatAnswers(long durationMs) {
+    cluster.faults.recordFault(durationMs + WorkerHeartbeats.TIMEOUT_MS);
+    cluster.network.holdHeartbeatAnswers(1);
+    cluster.time.after(durationMs, () -> cluster.network.holdHeartbeatAnswers(0));
+  }
+
   /** Freezes a controller for a time. */
   public void freeze(String controller, long durationMs) {
     cluster.faults.recordFault(durationMs);
--- a/src/test/java/org/fieldtrestle/simulation/WorkerHeartbeats.java
+++ b/src/test/java/org/fieldtrestle/simulation/WorkerHeartbeats.java
@@ -8,7 +8,8 @@
   /** The minimum time between two heartbeats of a worker. */
   private static final long MIN_INTERVAL_MS = 500;
 
-  private static final long TIMEOUT_MS = 4000;
+  /** How long a worker waits for the answer to a heartbeat. */
+  static final long TIMEOUT_MS = 4000;
 
   /** The time after a failure until the next controller is tried. */
   private static final long RETRY_DELAY_MS = 1000;
--- a/src/test/java/org/fieldtrestle/simulation/search/Fault.java
+++ b/src/test/java/org/fieldtrestle/simulation/search/Fault.java
@@ -36,7 +36,11 @@
   /** The machines that hold tasks of the first job of the scenario hang. */
   MACHINES_HANG(true),
   /** The machines that hold tasks of the first job of the scenario are lost. */
-  MACHINES_LOST(false);
+  MACHINES_LOST(false),
+  /** Direct commands that are sent within {@link #MOMENT_MS} are delivered a second time, later. */
+  COMMANDS_REPEATED(false),
+  /** Answers to heartbeats given within {@link #MOMENT_MS} are held for as long as workers wait. */
+  HEARTBEAT_ANSWERS_HELD(false);
 
   /** How long answers that are on their way are lost, and transactions are executed late. */
   private static final long MOMENT_MS = 100;
@@ -66,6 +70,8 @@
       case MESSAGE_LOST, MESSAGE_LATE -> step.kind() != StepKind.CLOUD_ANSWER;
       case TRANSACTIONS_LATE ->
           step.kind() == StepKind.STORE_REQUEST && step.detail().startsWith("/commit ");
+      case COMMANDS_REPEATED -> step.kind() == StepKind.COMMAND;
+      case HEARTBEAT_ANSWERS_HELD -> step.kind() == StepKind.HEARTBEAT;
       default -> true;
     };
   }
@@ -87,6 +93,8 @@
       case CONTROLLER_RESTARTS -> cluster.kill(controller, QUICK_RESTART_MS);
       case MACHINES_HANG -> cluster.hangMachinesOf(Scenario.FIRST_JOB, lengthMs);
       case MACHINES_LOST -> cluster.loseMachinesOf(Scenario.FIRST_JOB);
+      case COMMANDS_REPEATED -> cluster.repeatCommands(MOMENT_MS);
+      case HEARTBEAT_ANSWERS_HELD -> cluster.holdHeartbeatAnswers(MOMENT_MS);
     }
     return switch (this) {
       case MESSAGE_LOST -> Effect.LOST;
--- a/src/test/java/org/fieldtrestle/simulation/search/Scenario.java
+++ b/src/test/java/org/fieldtrestle/simulation/search/Scenario.java
@@ -64,12 +64,30 @@
       cluster.at(68_000, () -> cluster.cancel(FIRST_JOB));
       cluster.at(86_000, () -> cluster.cancel("job-2"));
     }
+  },
+
+  /**
+   * On a full fleet, urgent jobs preempt tasks twice, and these start again elsewhere. Beside them,
+   * a team runs tasks that each need most of its quota.
+   */
+  PREEMPT(44_900, 56_000) {
+    @Override
+    void plan(SteppedCluster cluster) {
+      submitLongJobs(cluster, 4);
+      cluster.at(30_000, () -> cluster.submitLimited("job-10", 3, 16, 5000));
+      cluster.at(45_000, () -> cluster.submit("job-11", 6, 16, URGENT_RUN_MS));
+      cluster.at(52_000, () -> cluster.submit("job-12", 6, 16, URGENT_RUN_MS));
+      cluster.at(54_000, () -> cluster.cancel("job-3"));
+    }
   };
 
   static final String FIRST_JOB = "job-1";
   private static final long LONG_RUN_MS = 150_000;
   private static final int SPREAD_TASKS = 24;
 
+  /** Jobs that are as short as this are urgent. */
+  private static final long URGENT_RUN_MS = 2500;
+
   private final long faultsFromMs;
   private final long faultsUntilMs;
 
