--- a/src/test/java/org/fieldtrestle/simulation/FaultyNetwork.java
+++ b/src/test/java/org/fieldtrestle/simulation/FaultyNetwork.java
@@ -1,7 +1,6 @@
 package org.fieldtrestle.simulation;
 
 import java.util.HashMap;
-import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.function.BooleanSupplier;
@@ -20,8 +19,7 @@
 
   private final SimulatedTime time;
   private final Map<String, Http.Handler> servers = new HashMap<>();
-  private final Map<String, String> zones = new HashMap<>();
-  private final Map<String, Long> partitionedUntilMs = new HashMap<>();
+  private final ZonePartitions partitions;
   private final Map<String, Long> extraDelaysMs = new HashMap<>();
   private final Map<String, Long> delayedUntilMs = new HashMap<>();
   private double lateRequestShare;
@@ -54,13 +52,14 @@
 
   FaultyNetwork(SimulatedTime time) {
     this.time = time;
+    this.partitions = new ZonePartitions(time);
   }
 
   // ---- servers
 
   void serve(String address, String zone, Http.Handler handler) {
     servers.put(address, handler);
-    zones.put(address, zone);
+    partitions.place(address, zone);
   }
 
   boolean serves(String address) {
@@ -143,8 +142,7 @@
 
   /** Cuts the connection between two zones for some time. */
   void partition(String zone, String other, long durationMs) {
-    partitionedUntilMs.put(zone + "|" + other, time.nowMs() + durationMs);
-    partitionedUntilMs.put(other + "|" + zone, time.nowMs() + durationMs);
+    partitions.partition(zone, other, durationMs);
   }
 
   /** Adds a delay to requests to an address for some time. */
@@ -157,11 +155,6 @@
     return time.nowMs() < delayedUntilMs.getOrDefault(address, 0L) ? extraDelaysMs.get(address) : 0;
   }
 
-  private long partitionedForMs(String fromZone, String address) {
-    String to = zones.getOrDefault(address, "");
-    return Math.max(0, partitionedUntilMs.getOrDefault(fromZone + "|" + to, 0L) - time.nowMs());
-  }
-
   // ---- calls
 
   /** Sends a request. Its outcome is dropped if {@code callerAlive} returns false by then. */
@@ -176,7 +169,7 @@
       Consumer<Http.Outcome> done) {
     Call call =
         new Call(fromZone, callerAlive, address, method, path, body, time.nowMs(), once(done));
-    long partitionedForMs = partitionedForMs(fromZone, address);
+    long partitionedForMs = partitions.remainingMs(fromZone, address);
     if (partitionedForMs > 0) {
       callAcrossPartition(call, partitionedForMs, timeoutMs);
     } else if (!serves(address)) {
@@ -247,7 +240,7 @@
     if (response.body().length > maxAnswerBytes) {
       tooLargeAnswers++;
       complete(call, 5, new Http.Unknown("closed"));
-    } else if (!lost && partitionedForMs(call.fromZone(), call.address()) == 0) {
+    } else if (!lost && partitions.remainingMs(call.fromZone(), call.address()) == 0) {
       Http.Answer answer = new Http.Answer(response.status(), response.body());
       if (heldAnswerShare > 0 && call.path().equals("/hello") && time.chance(heldAnswerShare)) {
         hold(call, answer);
@@ -312,24 +305,6 @@
       return;
     }
     currentRequestSentAtMs = requestSentAtMs;
-    int queryStart = path.indexOf('?');
-    server.handle(
-        new Http.Request(
-            method,
-            queryStart < 0 ? path : path.substring(0, queryStart),
-            query(path, queryStart),
-            body),
-        reply);
-  }
-
-  private static Map<String, String> query(String path, int queryStart) {
-    Map<String, String> query = new LinkedHashMap<>();
-    if (queryStart >= 0) {
-      for (String pair : path.substring(queryStart + 1).split("&", -1)) {
-        int equals = pair.indexOf('=');
-        query.put(pair.substring(0, equals), pair.substring(equals + 1));
-      }
-    }
-    return query;
+    server.handle(RequestTarget.parse(path).request(method, body), reply);
   }
 }
